--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -107,6 +107,11 @@
     pub orphans: BTreeMap<String, u64>,
     /// Chunks of finished tasks whose job is over, to be removed.
     pub garbage: Vec<(String, u32)>,
+    /// What happened and an operator may want to know, for the log: whether it
+    /// weighs much, and the words.
+    pub events: Vec<(bool, String)>,
+    /// Machines that went, and when: an old list may still show them.
+    departed: BTreeMap<String, f64>,
 }
 
 /// Attempts are numbered within the term, so that they never repeat; tokens
@@ -135,6 +140,8 @@
             peak_at: now,
             orphans: BTreeMap::new(),
             garbage: Vec::new(),
+            events: Vec::new(),
+            departed: BTreeMap::new(),
         }
     }
 
@@ -322,9 +329,14 @@
     /// is gone: once listed it would stay listed until then. Returns the names
     /// of those that went.
     pub fn on_list(&mut self, machines: &[Machine], asked_at: f64, now: f64) -> Vec<String> {
+        let old = asked_at - 2.0 * self.cfg.list_lag_s - self.cfg.margin_s();
+        self.departed.retain(|_, at| *at > old);
         let mut listed = BTreeSet::new();
         for m in machines {
             listed.insert(m.name.as_str());
+            if self.departed.contains_key(&m.name) {
+                continue;
+            }
             self.know(&m.name, &m.machine_type, &m.zone, m.spot, &m.endpoint, now);
             let Some(worker) = self.workers.get_mut(&m.name) else {
                 continue;
@@ -353,6 +365,7 @@
     /// A machine is surely gone, and everything on it.
     pub fn gone(&mut self, name: &str, now: f64) {
         self.end_session(name, u64::MAX, now);
+        self.departed.insert(name.to_string(), now);
         if let Some(worker) = self.workers.remove(name)
             && (worker.record_version > 0 || worker.record_unsure)
         {
@@ -375,6 +388,10 @@
                 let saved = self.saved_after_loss(&held, now);
                 self.vacate(name, &held, now);
                 self.requeue(&held, saved, name, 0.0);
+                self.events.push((
+                    false,
+                    format!("{} is lost with a session of {name}", held.task_name()),
+                ));
             }
             // An end that was not durable yet stands in the picture: a done
             // task counts as soon as its worker has said so.
@@ -486,6 +503,10 @@
         if report.token == term && worker.fenced_at.is_none() {
             worker.fenced_at = Some(now);
         }
+        if report.notice_s.is_some() && worker.notice_until.is_none() {
+            self.events
+                .push((true, format!("{} will be taken back", report.machine)));
+        }
         match (report.notice_s, worker.notice_until) {
             (Some(s), None) => worker.notice_until = Some(now + s),
             (Some(s), Some(t)) => worker.notice_until = Some(t.min(now + s)),
@@ -642,6 +663,15 @@
         let cause = task.cause.unwrap_or(EndCause::Unknown);
         held.phase = Phase::Ended(cause);
         let held = held.clone();
+        if cause != EndCause::Done {
+            self.events.push((
+                cause == EndCause::Error,
+                format!(
+                    "{} ended on {name}: {cause:?}, kept {:?}",
+                    task.task, task.kept
+                ),
+            ));
+        }
         self.vacate(name, &held, now);
         self.on_end(now, name, at, &held, cause, task.kept.unwrap_or(false));
     }
@@ -837,6 +867,10 @@
                 None
             };
             worker.leaving = reason.map(|r| (r, now));
+            if let Some(reason) = reason {
+                self.events
+                    .push((true, format!("{name} is given up: {reason:?}")));
+            }
         }
         let until = worker.notice_until;
         let leaving = worker.leaving;
--- a/crates/tallygauge-sched/src/mapping.rs
+++ b/crates/tallygauge-sched/src/mapping.rs
@@ -473,6 +473,14 @@
             .iter_mut()
             .filter(|h| chosen.contains(&h.attempt))
         {
+            self.events.push((
+                false,
+                format!(
+                    "{} is stopped on {name} for {}",
+                    held.task_name(),
+                    group.job
+                ),
+            ));
             held.stop = Some(Stop {
                 reason: StopReason::Preempted,
                 at: now,
--- a/crates/tallygauge/src/control.rs
+++ b/crates/tallygauge/src/control.rs
@@ -52,6 +52,16 @@
             tokio::time::sleep(gap).await;
             continue;
         };
+        for (weighs, text) in node
+            .with_cluster(|c| std::mem::take(&mut c.events))
+            .unwrap_or_default()
+        {
+            if weighs {
+                tracing::info!("{text}");
+            } else {
+                tracing::debug!("{text}");
+            }
+        }
         // Stops need nothing durable and go out first.
         workers::dispatch(node);
         for batch in batches(node, writes) {
--- a/crates/tallygauge/src/main.rs
+++ b/crates/tallygauge/src/main.rs
@@ -4,6 +4,7 @@
 use std::{path::PathBuf, process::ExitCode};
 use tallygauge::{settings::Settings, tuning::Tuning};
 use tracing::level_filters::LevelFilter;
+use tracing_subscriber::{Layer, filter::Targets, layer::SubscriberExt, util::SubscriberInitExt};
 
 /// A controller of the tallygauge cluster scheduler.
 #[derive(Debug, Parser)]
@@ -47,11 +48,18 @@
         Ok("error") => LevelFilter::ERROR,
         _ => LevelFilter::INFO,
     };
-    tracing_subscriber::fmt()
+    // Libraries are heard only when something is wrong: an operator follows
+    // the scheduler, not its connections.
+    let ours = Targets::new()
+        .with_default(LevelFilter::ERROR)
+        .with_target("tallygauge", level)
+        .with_target("warp", LevelFilter::OFF);
+    let lines = tracing_subscriber::fmt::layer()
         .with_writer(std::io::stderr)
         .with_ansi(false)
-        .with_target(false)
-        .with_max_level(level)
+        .with_target(false);
+    tracing_subscriber::registry()
+        .with(lines.with_filter(ours))
         .init();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
