--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -495,6 +495,14 @@
         worker.endpoint.clone_from(&report.endpoint);
         worker.heard_at = now;
         worker.direct_failures = 0;
+        // It lives after all.
+        if matches!(
+            worker.leaving,
+            Some((LeaveReason::NoBoot | LeaveReason::Silent, _))
+        ) && !worker.return_sent
+        {
+            worker.leaving = None;
+        }
         if report.session > worker.session {
             worker.session_at = now;
         }
@@ -632,6 +640,7 @@
         };
         let held = &mut worker.held[at];
         held.session = session;
+        held.sent = true;
         if matches!(held.phase, Phase::Ended(_)) {
             return;
         }
@@ -847,7 +856,12 @@
             return;
         };
         if worker.leaving.is_none() {
-            let reason = if !worker.up() && now - worker.rented_at > boot_s * 4.0 {
+            // A leader new in office has not heard of any worker yet: that
+            // alone does not make an old machine one that never came up.
+            let reason = if !worker.up()
+                && now - worker.rented_at > boot_s * 4.0
+                && now - self.term_at > cfg.lease_s
+            {
                 Some(LeaveReason::NoBoot)
             } else if worker.up()
                 && now - worker.heard_at > cfg.lease_s * 2.0
--- a/crates/tallygauge-sched/src/lib.rs
+++ b/crates/tallygauge-sched/src/lib.rs
@@ -9,6 +9,8 @@
 mod mapping;
 mod model;
 mod ranges;
+#[cfg(test)]
+mod tests;
 
 pub use cluster::{Cluster, DirectMessage, Finish, PlacementWrite, Verdict};
 pub use demand::{Rental, SpotKind};
--- a/crates/tallygauge-sched/src/mapping.rs
+++ b/crates/tallygauge-sched/src/mapping.rs
@@ -231,6 +231,13 @@
         }
     }
 
+    /// What counts between workers that are about as good, in seconds: small
+    /// ones and full ones come first, so that large rooms are kept for large
+    /// tasks and machines fall empty.
+    pub(crate) fn packing(&self, size: f64, free: f64, largest: f64, _worker: &Worker) -> f64 {
+        self.cfg.floor_s * 0.5 * (size + free) / (2.0 * largest)
+    }
+
     /// The best worker with free room for a task of the group.
     fn best_spot(
         &self,
@@ -251,14 +258,11 @@
                 continue;
             }
             let time = self.time_on(job, group, worker);
-            // Of workers that are about as good, small ones and full ones
-            // first: large rooms are kept for large tasks.
             let size = self
                 .types
                 .get(&worker.machine_type)
                 .map_or(largest, |t| t.cpus);
-            let packing = self.cfg.floor_s * 0.5 * (size + room.cpus) / (2.0 * largest);
-            let score = time + packing;
+            let score = time + self.packing(size, room.cpus, largest, worker);
             if best.as_ref().is_none_or(|b| score < b.score) {
                 best = Some(Spot {
                     worker: name.clone(),
--- /dev/null
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -0,0 +1,541 @@
+//! The mapping against a slow plain model, and the picture's safety.
+
+use crate::{mapping::Group, *};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, HashMap};
+use tallygauge_wire::{
+    cloud::{Machine, MachineState, MachineType},
+    users::{JobSpec, Priority, Shape},
+    workers::{Command, EndCause, Report, TaskReport, TaskState},
+};
+
+const TERM: u64 = 3;
+
+fn config() -> Config {
+    let team = |name: &str, cpus: f64| TeamConfig {
+        name: name.into(),
+        cpus,
+        cpus_max: cpus * 3.0,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    };
+    Config {
+        teams: vec![team("red", 8.0), team("blue", 6.0)],
+        report_s: 2.0,
+        lease_s: 20.0,
+        cancel_s: 40.0,
+        fence_s: 17.0,
+        list_lag_s: 4.0,
+        drift: 0.0005,
+        floor_s: 5.0,
+        worth: [1.0, 2.0, 8.0, 16.0],
+        late_worth: 0.1,
+        idle_boots: 1.5,
+        horizon_boots: 1.0,
+        class_due_s: HashMap::new(),
+        tasks_per_worker: 50,
+        term: TERM,
+    }
+}
+
+fn types() -> Vec<MachineType> {
+    let of = |name: &str, cpus: f64, fetch: f64| MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb: cpus * 4.0,
+        cache_gb: 20.0,
+        fetch_gb_per_s: fetch,
+        price: cpus / 10.0,
+        spot_price: cpus / 25.0,
+        boot_s: 30.0,
+        zones: vec!["a".into(), "b".into()],
+    };
+    vec![of("small", 4.0, 0.8), of("large", 16.0, 0.3)]
+}
+
+fn spec(number: usize, tasks: u32, cpus: f64) -> JobSpec {
+    JobSpec {
+        id: format!("req-{number}"),
+        class: "w".into(),
+        team: "red".into(),
+        shape: Shape::Array,
+        priority: Priority::Normal,
+        tasks,
+        cpus,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "i0".into(),
+        image_gb: 2.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        expected_s: 40.0,
+        checkpoint_every_s: 10.0,
+        save_s: 2.0,
+        deadline_s: None,
+    }
+}
+
+fn report(machine: &str, session: u64, seq: u64, token: u64, tasks: Vec<TaskReport>) -> Report {
+    let large = machine.starts_with('l');
+    Report {
+        machine: machine.into(),
+        endpoint: format!("{machine}:1"),
+        machine_type: if large { "large" } else { "small" }.into(),
+        zone: if machine.ends_with('b') { "b" } else { "a" }.into(),
+        spot: machine.contains('s'),
+        session,
+        seq,
+        token,
+        notice_s: None,
+        tasks,
+    }
+}
+
+fn task(name: &str, attempt: u64, state: TaskState, cause: Option<EndCause>) -> TaskReport {
+    TaskReport {
+        task: name.into(),
+        attempt,
+        state,
+        cause,
+        kept: None,
+    }
+}
+
+fn cluster(machines: &[&str], now: f64) -> Cluster {
+    let mut c = Cluster::new(config(), now, 16);
+    c.set_types(&types());
+    for m in machines {
+        assert_eq!(
+            c.on_report(now, &report(m, 1, 1, TERM, vec![])),
+            Verdict::Taken
+        );
+    }
+    c
+}
+
+/// Plans, and makes all of it durable. Returns placements in order.
+fn round(c: &mut Cluster, now: f64) -> Vec<(String, u32, String)> {
+    c.plan(now, true);
+    let mut out = Vec::new();
+    for w in c.workers.values() {
+        for h in w.held.iter().filter(|h| h.phase == Phase::Planned) {
+            out.push((h.attempt, (h.spec.id.clone(), h.index, w.name.clone())));
+        }
+    }
+    out.sort();
+    for write in c.placement_writes(true, 0.0, now) {
+        c.written(&write, 100);
+    }
+    out.into_iter().map(|o| o.1).collect()
+}
+
+fn start_of(c: &Cluster, worker: &str, now: f64) -> Vec<(String, u64)> {
+    c.commands(worker, now)
+        .into_iter()
+        .filter_map(|command| match command {
+            Command::Start { task, attempt } => Some((task, attempt)),
+            _ => None,
+        })
+        .collect()
+}
+
+/// The algorithm as the paper words it: look at every waiting task on every
+/// machine, map the best pair, and look at everything again.
+fn plain(c: &Cluster, now: f64) -> Vec<(String, u32, String)> {
+    let within = c.within_guarantee();
+    let mut free: BTreeMap<String, Room> = c
+        .workers
+        .values()
+        .filter(|w| w.usable(now, &c.cfg))
+        .map(|w| (w.name.clone(), w.free))
+        .collect();
+    let mut images: HashMap<String, Worker> = c
+        .workers
+        .iter()
+        .map(|(n, w)| (n.clone(), w.clone()))
+        .collect();
+    let mut used: Vec<f64> = c
+        .cfg
+        .teams
+        .iter()
+        .map(|t| {
+            c.workers
+                .values()
+                .flat_map(|w| &w.held)
+                .filter(|h| h.occupies() && h.spec.team == t.name)
+                .map(|h| h.spec.cpus)
+                .sum()
+        })
+        .collect();
+    let mut waiting: Vec<(String, u32)> = c
+        .jobs
+        .values()
+        .flat_map(|j| {
+            j.waiting
+                .iter()
+                .map(|i| (j.spec.id.clone(), i))
+                .collect::<Vec<_>>()
+        })
+        .collect();
+    let largest = types().iter().map(|t| t.cpus).fold(0.0, f64::max);
+    let mut out = Vec::new();
+    loop {
+        let mut best: Option<(bool, f64, f64, usize, String)> = None;
+        for (at, (id, _)) in waiting.iter().enumerate() {
+            let job = &c.jobs[id];
+            if used[job.team] + job.spec.cpus > c.cfg.teams[job.team].cpus_max + 1e-9 {
+                continue;
+            }
+            let group = Group {
+                job: id.clone(),
+                resume: None,
+            };
+            let mut spot: Option<(f64, f64, String)> = None;
+            for (name, room) in &free {
+                let w = &images[name];
+                if room.cpus + 1e-9 < job.spec.cpus
+                    || room.memory_gb + 1e-9 < job.spec.memory_gb
+                    || !c.allowed(job, &group, w)
+                {
+                    continue;
+                }
+                let time = c.time_on(job, &group, w);
+                let size = if w.machine_type == "large" { 16.0 } else { 4.0 };
+                let score = time + c.packing(size, room.cpus, largest, w);
+                if spot.as_ref().is_none_or(|s| score < s.0) {
+                    spot = Some((score, c.worth(job, now + time * 0.5) / time, name.clone()));
+                }
+            }
+            let Some((_, upt, name)) = spot else { continue };
+            let key = (within.contains(id), upt, -job.accepted_at);
+            let better = best.as_ref().is_none_or(|b| {
+                key.0
+                    .cmp(&b.0)
+                    .then(key.1.total_cmp(&b.1))
+                    .then(key.2.total_cmp(&b.2))
+                    .is_gt()
+            });
+            if better {
+                best = Some((key.0, key.1, key.2, at, name));
+            }
+        }
+        let Some((_, _, _, at, name)) = best else {
+            return out;
+        };
+        let (id, index) = waiting.remove(at);
+        let job = &c.jobs[&id];
+        used[job.team] += job.spec.cpus;
+        let room = free.get_mut(&name).unwrap();
+        room.cpus -= job.spec.cpus;
+        room.memory_gb -= job.spec.memory_gb;
+        images
+            .get_mut(&name)
+            .unwrap()
+            .use_image(&job.spec.image, job.spec.image_gb, 20.0);
+        out.push((id, index, name));
+    }
+}
+
+fn any_job() -> impl Strategy<Value = (u32, u32, u8, u8, f64, bool, bool, Option<f64>)> {
+    (
+        1u32..7,
+        1u32..9,
+        0u8..4,
+        0u8..3,
+        5.0f64..90.0,
+        any::<bool>(),
+        any::<bool>(),
+        prop::option::of(20.0f64..200.0),
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 96, rng_seed: proptest::test_runner::RngSeed::Fixed(11), failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn the_mapping_is_that_of_the_plain_model(jobs in prop::collection::vec(any_job(), 1..9), machines in 1usize..7) {
+        let names = ["sa", "l1a", "l2b", "ssa", "s3b", "l4a"];
+        let mut c = cluster(&names[..machines], 100.0);
+        for (n, (tasks, cpus, priority, image, expected, blue, spot, deadline)) in jobs.into_iter().enumerate() {
+            let mut s = spec(n, tasks, f64::from(cpus) * 0.5);
+            s.priority = [Priority::Low, Priority::Normal, Priority::High, Priority::Production][usize::from(priority)];
+            s.image = format!("i{image}");
+            s.expected_s = expected;
+            s.spot = spot;
+            s.deadline_s = deadline;
+            if blue { s.team = "blue".into(); }
+            c.add_job(s, 1, 10.0 * n as f64, &RangeSet::default());
+        }
+        let expected = plain(&c, 100.0);
+        c.plan(100.0, false);
+        let mut real: Vec<(u64, (String, u32, String))> = c.workers.values().flat_map(|w| w.held.iter().map(|h| (h.attempt, (h.spec.id.clone(), h.index, w.name.clone())))).collect();
+        real.sort();
+        prop_assert_eq!(real.into_iter().map(|r| r.1).collect::<Vec<_>>(), expected);
+    }
+
+    #[test]
+    fn ledgers_and_rooms_add_up_whatever_is_reported(steps in prop::collection::vec((0u8..6, 0usize..3), 1..60)) {
+        let names = ["sa", "l1a", "l2b"];
+        let mut c = cluster(&names, 100.0);
+        for n in 0..4 { c.add_job(spec(n, 5, 1.5), 1, 0.0, &RangeSet::default()); }
+        let (mut now, mut seq, mut session) = (100.0, 10, [1u64; 3]);
+        for (what, at) in steps {
+            now += 1.0;
+            seq += 1;
+            let name = names[at];
+            let mut tasks: Vec<TaskReport> = c.workers[name].held.iter().filter(|h| h.phase != Phase::Planned).map(|h| match h.phase {
+                Phase::Ended(cause) => task(&h.task_name(), h.attempt, TaskState::Ended, Some(cause)),
+                _ => task(&h.task_name(), h.attempt, TaskState::Running, None),
+            }).collect();
+            match what {
+                0 => { round(&mut c, now); }
+                1 => session[at] += 1,
+                2 => if let Some(t) = tasks.first_mut() { (t.state, t.cause) = (TaskState::Ended, Some(EndCause::Done)); },
+                3 => if let Some(t) = tasks.first_mut() { (t.state, t.cause) = (TaskState::Ended, Some(EndCause::Error)); },
+                4 => { tasks.pop(); }
+                _ => c.tick(now),
+            }
+            if what == 1 { tasks.clear(); }
+            c.on_report(now, &report(name, session[at], seq, TERM, tasks));
+            for w in c.workers.values() {
+                let full = if w.machine_type == "large" { 16.0 } else { 4.0 };
+                let held: f64 = w.held.iter().filter(|h| h.occupies()).map(|h| h.spec.cpus).sum();
+                prop_assert!((full - held - w.free.cpus).abs() < 1e-6);
+                prop_assert!(w.free.cpus > -1e-6, "{} is overfull", w.name);
+            }
+            let red: f64 = c.workers.values().flat_map(|w| &w.held).filter(|h| h.occupies()).map(|h| h.spec.cpus).sum();
+            prop_assert!((c.ledgers[0].cpus - red).abs() < 1e-6 && red <= 24.0 + 1e-6);
+            for j in c.jobs.values() {
+                // Every task is done, held, or waits; none is lost or twice.
+                let waits = j.waiting.len() + j.resumes.len() as u32;
+                prop_assert_eq!(j.finished.len() + j.holds.len() as u32 + waits, j.spec.tasks);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_newcomer_stops_lower_work_of_least_upt_and_waits_for_its_end() {
+    let mut c = cluster(&["sa"], 100.0);
+    let mut low = spec(1, 2, 2.0);
+    low.priority = Priority::Low;
+    c.add_job(low, 1, 90.0, &RangeSet::default());
+    assert_eq!(round(&mut c, 100.0).len(), 2);
+    let held: Vec<(String, u64)> = start_of(&c, "sa", 100.0);
+    // One is nearly done: its UPT is the greater.
+    let run = |seq| {
+        let tasks = held
+            .iter()
+            .map(|h| task(&h.0, h.1, TaskState::Running, None))
+            .collect();
+        report("sa", 1, seq, TERM, tasks)
+    };
+    c.on_report(101.0, &run(5));
+    for h in &mut c.workers.get_mut("sa").unwrap().held {
+        h.running_since = Some(if h.index == 0 { 66.0 } else { 99.0 });
+    }
+    let mut high = spec(2, 1, 2.0);
+    high.priority = Priority::High;
+    c.add_job(high, 1, 101.0, &RangeSet::default());
+    assert!(
+        round(&mut c, 101.0).is_empty(),
+        "no room before the stop is confirmed"
+    );
+    let stops: Vec<Command> = c.commands("sa", 101.0);
+    assert!(
+        matches!(&stops[..], [Command::Stop { task, grace_s, .. }] if task == "req-1/1" && *grace_s >= 2.0),
+        "{stops:?}"
+    );
+    // Room that is being made is not made twice.
+    round(&mut c, 101.5);
+    assert_eq!(
+        c.workers["sa"]
+            .held
+            .iter()
+            .filter(|h| h.stop.is_some())
+            .count(),
+        1
+    );
+    let mut ended = run(6);
+    for t in &mut ended.tasks {
+        if t.task == "req-1/1" {
+            (t.state, t.cause, t.kept) = (TaskState::Ended, Some(EndCause::Halted), Some(true));
+        }
+    }
+    c.on_report(103.0, &ended);
+    assert_eq!(
+        round(&mut c, 103.0),
+        vec![("req-2".to_string(), 0, "sa".to_string())]
+    );
+    assert!(
+        c.jobs["req-1"].resumes[0].saved_s > 3.0,
+        "its progress is kept"
+    );
+}
+
+#[test]
+fn an_overrun_task_does_not_look_almost_done_for_ever() {
+    let mut c = cluster(&["sa"], 100.0);
+    c.add_job(spec(1, 1, 2.0), 1, 90.0, &RangeSet::default());
+    round(&mut c, 100.0);
+    let held = &mut c.workers.get_mut("sa").unwrap().held[0];
+    held.running_since = Some(100.0);
+    let held = held.clone();
+    let almost = c.upt_running(&held, 138.0);
+    assert!(
+        c.upt_running(&held, 160.0) < almost,
+        "40 s expected, 60 s run"
+    );
+    assert!(c.upt_running(&held, 400.0) < c.upt_running(&held, 160.0));
+}
+
+#[test]
+fn an_attempt_whose_direct_start_went_unanswered_stays_known_to_its_worker() {
+    // The start may be delivered minutes late. Cleared, it would run again.
+    let mut c = cluster(&["sa"], 100.0);
+    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
+    round(&mut c, 100.0);
+    let message = c.direct_messages(100.0).remove(0);
+    assert_eq!(message.starts.len(), 1);
+    c.direct_done(&message, false, false, 104.0);
+    let (name, attempt) = start_of(&c, "sa", 104.0).remove(0);
+    let done = task(&name, attempt, TaskState::Ended, Some(EndCause::Done));
+    c.on_report(110.0, &report("sa", 1, 5, TERM, vec![done.clone()]));
+    let finish = c.finishes(true).remove(0);
+    c.finish_written(&finish, 110.0);
+    assert!(c.commands("sa", 110.0).is_empty(), "must not be cleared");
+    // Absent from a report it would still hold its place, being uncertain.
+    c.on_report(111.0, &report("sa", 1, 6, TERM, vec![]));
+    assert_eq!(c.workers["sa"].held.len(), 1);
+    // The next session knows nothing of it, and a late start is refused there.
+    c.on_report(140.0, &report("sa", 2, 1, TERM, vec![]));
+    assert!(c.workers["sa"].held.is_empty());
+}
+
+#[test]
+fn what_an_earlier_leader_placed_is_held_until_surely_gone() {
+    let record = WorkerRecord {
+        endpoint: "sa:1".into(),
+        machine_type: "small".into(),
+        zone: "a".into(),
+        spot: false,
+        tasks: vec![TaskRecord {
+            job: "req-1".into(),
+            index: 0,
+            attempt: 77,
+            session: 1,
+            saved_s: 0,
+            placed: 0,
+        }],
+        images: vec![],
+    };
+    let fresh = || {
+        let mut c = cluster(&["l1a"], 100.0);
+        c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
+        let specs = HashMap::from([("req-1".to_string(), c.jobs["req-1"].spec.clone())]);
+        c.inherit("sa", &record, 7, &specs, 100.0, 0.0);
+        c
+    };
+    // A report older than the fence proves nothing: a start may be under way.
+    let mut c = fresh();
+    c.on_report(101.0, &report("sa", 1, 4, TERM - 1, vec![]));
+    assert!(round(&mut c, 101.0).is_empty());
+    c.on_report(102.0, &report("sa", 1, 5, TERM, vec![]));
+    assert_eq!(round(&mut c, 102.0).len(), 1);
+    // The session ended.
+    let mut c = fresh();
+    c.on_report(101.0, &report("sa", 2, 1, TERM - 1, vec![]));
+    assert_eq!(round(&mut c, 101.0).len(), 1);
+    // Nothing is heard: until no earlier leader can have kept its lease alive.
+    let mut c = fresh();
+    let bound = 100.0 + 17.0 + 20.0;
+    for now in [110.0, 125.0, bound] {
+        c.on_report(now, &report("l1a", 1, now as u64, TERM, vec![]));
+        c.tick(now);
+        assert!(round(&mut c, now).is_empty(), "too soon at {now}");
+    }
+    c.on_report(bound + 2.0, &report("l1a", 1, 900, TERM, vec![]));
+    c.tick(bound + 2.0);
+    assert_eq!(round(&mut c, bound + 2.0).len(), 1);
+    // The machine is not in a list asked for well after it was known.
+    let mut c = fresh();
+    let known = |name: &str| Machine {
+        name: name.into(),
+        endpoint: String::new(),
+        machine_type: "large".into(),
+        zone: "a".into(),
+        spot: false,
+        state: MachineState::Running,
+        age_s: 500.0,
+    };
+    assert!(
+        c.on_list(&[known("l1a")], 105.0, 105.0).is_empty(),
+        "the list may be older"
+    );
+    assert_eq!(c.on_list(&[known("l1a")], 109.0, 109.0), ["sa"]);
+    // A list from before that still shows it does not bring it back.
+    let mut old = known("sa");
+    old.machine_type = "small".into();
+    c.on_list(&[old, known("l1a")], 110.0, 110.0);
+    assert!(!c.workers.contains_key("sa"));
+}
+
+#[test]
+fn a_leader_new_in_office_does_not_give_up_machines_it_has_not_heard_yet() {
+    // Old machines whose workers had not reported to the new leader were
+    // taken for such that never came up, and returned with their tasks.
+    let mut c = cluster(&[], 100.0);
+    let old = Machine {
+        name: "sa".into(),
+        endpoint: "sa:1".into(),
+        machine_type: "small".into(),
+        zone: "a".into(),
+        spot: false,
+        state: MachineState::Running,
+        age_s: 900.0,
+    };
+    c.on_list(std::slice::from_ref(&old), 100.5, 100.5);
+    c.tick(101.0);
+    assert!(c.workers["sa"].leaving.is_none());
+    c.on_list(&[old], 125.0, 125.0);
+    c.tick(125.0);
+    assert!(matches!(
+        c.workers["sa"].leaving,
+        Some((LeaveReason::NoBoot, _))
+    ));
+    c.on_report(126.0, &report("sa", 1, 1, TERM, vec![]));
+    assert!(c.workers["sa"].leaving.is_none(), "it lives after all");
+}
+
+#[test]
+fn zones_and_kinds_are_kept_to() {
+    let mut c = cluster(&["sa", "s2b", "ss3b"], 100.0);
+    let mut one = spec(1, 3, 3.0);
+    one.one_zone = true;
+    let mut spread = spec(2, 4, 0.5);
+    spread.spread = true;
+    let mut kind = spec(3, 1, 0.5);
+    (kind.spot, kind.zone) = (false, Some("b".into()));
+    for s in [one, spread, kind] {
+        c.add_job(s, 1, 90.0, &RangeSet::default());
+    }
+    let placed = round(&mut c, 100.0);
+    let zones = |id: &str| -> Vec<char> {
+        placed
+            .iter()
+            .filter(|p| p.0 == id)
+            .filter_map(|p| p.2.chars().last())
+            .collect()
+    };
+    let one = zones("req-1");
+    assert!(
+        !one.is_empty() && one.iter().all(|z| *z == one[0]),
+        "{one:?}"
+    );
+    assert_eq!(zones("req-2").iter().filter(|z| **z == 'a').count(), 2);
+    // Every name here has an s, so all machines count as spot ones.
+    assert!(zones("req-3").is_empty());
+}
--- /dev/null
+++ b/crates/tallygauge/tests/failures.rs
@@ -0,0 +1,276 @@
+//! The controller against stand-ins, in simulated time.
+
+mod world;
+
+use std::{sync::Arc, time::Duration};
+use tallygauge::{
+    node::Node,
+    users::{self, Reply},
+    workers::{CheckIn, check_in},
+};
+use tallygauge_state::{Class, Outcome};
+use tallygauge_wire::{
+    state::{Transaction, Write},
+    users::JobStatus,
+};
+use world::{LEASE_S, World, until};
+
+fn status_of(reply: &Reply) -> Option<JobStatus> {
+    match reply {
+        Reply::Job(_, answer) => Some(answer.status),
+        _ => None,
+    }
+}
+
+async fn ask(node: &Node, id: &str) -> Option<JobStatus> {
+    status_of(&users::status(node, id).await)
+}
+
+async fn accepted(node: &Arc<Node>, body: &[u8]) {
+    let kept = until(30.0, async || {
+        matches!(users::submit(node, body).await.status(), 200 | 201)
+    })
+    .await;
+    assert!(kept, "not accepted");
+}
+
+fn leads(node: &Node) -> bool {
+    node.lock(&node.lead)
+        .as_ref()
+        .is_some_and(|l| l.cluster.is_some())
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_runs_from_end_to_end() {
+    let world = World::new();
+    tokio::spawn(world.clone().play());
+    let (a, _task) = world.node("n-a");
+    let (b, _other) = world.node("n-b");
+    let (id, body) = world.job(1, 6, 2.0, 5.0);
+    accepted(&a, &body).await;
+    // Accepted means known to every node.
+    assert!(ask(&b, &id).await.is_some());
+    assert!(until(60.0, async || ask(&b, &id).await == Some(JobStatus::Done)).await);
+    // A repeat and a late cancellation get the job's end, not a new start.
+    let again = users::submit(&a, &body).await;
+    assert_eq!(
+        (again.status(), status_of(&again)),
+        (200, Some(JobStatus::Done))
+    );
+    assert_eq!(
+        status_of(&users::cancel(&b, &id).await),
+        Some(JobStatus::Done)
+    );
+    // A known job is answered for even when the repeat is malformed.
+    let bad = br#"{"nameId":"req-000001","pieces":"many"}"#;
+    assert_eq!(users::submit(&b, bad).await.status(), 200);
+    let unknown = br#"{"nameId":"req-000002","pieces":"many"}"#;
+    assert_eq!(users::submit(&b, unknown).await.status(), 400);
+    assert_eq!(users::status(&b, "req-000002").await.status(), 404);
+    assert_eq!(users::cancel(&b, "req-000002").await.status(), 404);
+    assert_eq!(world.inner.lock().unwrap().starts.len(), 6);
+    world.assert_rules();
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_take_over_does_not_start_the_task_of_a_silent_worker_again_too_soon() {
+    let world = World::new();
+    tokio::spawn(world.clone().play());
+    let (a, task) = world.node("n-a");
+    assert!(until(30.0, async || leads(&a)).await);
+    let (id, body) = world.job(1, 1, 8.0, 200.0);
+    accepted(&a, &body).await;
+    assert!(
+        until(60.0, async || !world
+            .inner
+            .lock()
+            .unwrap()
+            .starts
+            .is_empty())
+        .await
+    );
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let worker = world.inner.lock().unwrap().starts[0].2.clone();
+    // Leader and worker go at once; the worker's task runs on for its lease.
+    world.silence(&worker, true);
+    let silent_at = world.now();
+    task.abort();
+    world.forget_node("n-a");
+    let (b, _task) = world.node("n-b");
+    assert!(
+        until(120.0, async || world.inner.lock().unwrap().starts.len()
+            == 2)
+        .await
+    );
+    let again = world.inner.lock().unwrap().starts[1].0;
+    assert!(
+        again > silent_at + LEASE_S - 1.5,
+        "again {:.1} s after",
+        again - silent_at
+    );
+    assert_eq!(ask(&b, &id).await, Some(JobStatus::Running));
+    world.assert_rules();
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_deposed_leader_can_neither_write_nor_command() {
+    let world = World::new();
+    tokio::spawn(world.clone().play());
+    let (a, _ta) = world.node("n-a");
+    assert!(until(30.0, async || leads(&a)).await);
+    let (_, body) = world.job(1, 2, 8.0, 60.0);
+    accepted(&a, &body).await;
+    assert!(until(60.0, async || world.inner.lock().unwrap().starts.len() == 2).await);
+    let old = a.lock(&a.lead).as_ref().unwrap().guard.clone();
+    // Refused by the state service alone.
+    world.inner.lock().unwrap().cut.insert("n-a".into());
+    let (b, _tb) = world.node("n-b");
+    assert!(until(60.0, async || leads(&b)).await);
+    // Its workers carry the new token: it learns from them and gives up.
+    assert!(until(20.0, async || !leads(&a)).await);
+    let late = Transaction {
+        guards: vec![old],
+        writes: vec![Write::Set {
+            key: "p/late".into(),
+            value: serde_json::json!({}),
+            lease: None,
+        }],
+    };
+    let outcome = b.state.transact(Class::Placement, &late).await.unwrap();
+    assert!(matches!(outcome, Outcome::Conflict(_)));
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    // What ran went on: nothing was started a second time.
+    assert_eq!(world.inner.lock().unwrap().starts.len(), 2);
+    world.assert_rules();
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_without_a_confirmed_term_stops_answering_workers() {
+    let world = World::new();
+    tokio::spawn(world.clone().play());
+    let (a, _ta) = world.node("n-a");
+    assert!(until(30.0, async || leads(&a)).await);
+    let (_, body) = world.job(1, 1, 8.0, 500.0);
+    accepted(&a, &body).await;
+    assert!(
+        until(60.0, async || !world
+            .inner
+            .lock()
+            .unwrap()
+            .starts
+            .is_empty())
+        .await
+    );
+    world.inner.lock().unwrap().cut.insert("n-a".into());
+    let cut_at = a.now();
+    let report = br#"{"bench":"x","endpoint":"x","build":"c8","site":"a","borrowed":false,"shift":1,"tick":9,"baton":0,"pieces":[]}"#;
+    tokio::time::sleep(Duration::from_secs_f64(a.fence_s() * 0.5)).await;
+    assert!(matches!(check_in(&a, report), CheckIn::Take(_)), "too soon");
+    assert!(until(60.0, async || check_in(&a, report) == CheckIn::NotNow).await);
+    // The last answer must end within a lease, and all of it before a
+    // cancellation made elsewhere at the time of the cut is due.
+    assert!(a.now() - cut_at + LEASE_S < 20.0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn cancelling_while_the_job_ends_gives_one_answer_for_good() {
+    for offset in 0..12u32 {
+        let world = World::new();
+        tokio::spawn(world.clone().play());
+        let (a, _ta) = world.node("n-a");
+        let (b, _tb) = world.node("n-b");
+        let (id, body) = world.job(1, 1, 1.0, 5.0);
+        accepted(&a, &body).await;
+        assert!(
+            until(60.0, async || !world
+                .inner
+                .lock()
+                .unwrap()
+                .starts
+                .is_empty())
+            .await
+        );
+        tokio::time::sleep(Duration::from_millis(4700 + u64::from(offset) * 120)).await;
+        let mut told = None;
+        assert!(
+            until(10.0, async || {
+                told = status_of(&users::cancel(&b, &id).await);
+                told.is_some()
+            })
+            .await
+        );
+        assert!(matches!(told, Some(JobStatus::Done | JobStatus::Cancelled)));
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        for node in [&a, &b] {
+            assert_eq!(ask(node, &id).await, told, "offset {offset}");
+        }
+        let inner = world.inner.lock().unwrap();
+        assert!(inner.broken.is_empty(), "{:?}", inner.broken);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cancelled_job_starts_no_more_tasks_and_leaves_the_machines() {
+    let world = World::new();
+    tokio::spawn(world.clone().play());
+    let (a, _ta) = world.node("n-a");
+    let (b, _tb) = world.node("n-b");
+    let (id, body) = world.job(1, 8, 4.0, 30.0);
+    accepted(&a, &body).await;
+    assert!(until(60.0, async || world.inner.lock().unwrap().starts.len() == 4).await);
+    assert_eq!(
+        status_of(&users::cancel(&b, &id).await),
+        Some(JobStatus::Cancelled)
+    );
+    let before = world.inner.lock().unwrap().starts.len();
+    // Room comes back only when the stops are confirmed.
+    let (other, next) = world.job(2, 4, 4.0, 3.0);
+    accepted(&b, &next).await;
+    assert!(
+        until(30.0, async || ask(&a, &other).await
+            == Some(JobStatus::Done))
+        .await
+    );
+    let inner = world.inner.lock().unwrap();
+    let later = &inner.starts[before..];
+    assert!(later.iter().all(|s| s.1.starts_with(&other)), "{later:?}");
+    assert!(inner.broken.is_empty(), "{:?}", inner.broken);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_submission_whose_answer_was_lost_is_kept_once() {
+    let world = World::new();
+    let (a, _ta) = world.node("n-a");
+    let (b, _tb) = world.node("n-b");
+    assert!(until(30.0, async || leads(&a) || leads(&b)).await);
+    assert!(until(30.0, async || b.lock(&b.catalogue).is_some()).await);
+    let (id, body) = world.job(1, 1, 1.0, 5.0);
+    world.inner.lock().unwrap().lose_answers = 1;
+    let reply = users::submit(&b, &body).await;
+    assert_eq!(status_of(&reply), Some(JobStatus::Pending), "{reply:?}");
+    assert_eq!(ask(&a, &id).await, Some(JobStatus::Pending));
+    assert_eq!(users::submit(&a, &body).await.status(), 200);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_team_keeps_its_limit_through_take_overs_and_lost_answers() {
+    let world = World::new();
+    tokio::spawn(world.clone().play());
+    let (mut leader, mut task) = world.node("n-0");
+    let (id, body) = world.job(1, 24, 4.0, 7.0);
+    accepted(&leader, &body).await;
+    for turn in 1..4 {
+        tokio::time::sleep(Duration::from_secs(9)).await;
+        world.inner.lock().unwrap().lose_answers = 1;
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        world.forget_node(&leader.settings.node_name);
+        task.abort();
+        (leader, task) = world.node(&format!("n-{turn}"));
+    }
+    assert!(
+        until(300.0, async || ask(&leader, &id).await
+            == Some(JobStatus::Done))
+        .await
+    );
+    world.assert_rules();
+}
