--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -110,6 +110,8 @@
     /// What happened and an operator may want to know, for the log: whether it
     /// weighs much, and the words.
     pub events: Vec<(bool, String)>,
+    /// Something changed that a round should look at.
+    pub changed: bool,
     /// Machines that went, and when: an old list may still show them.
     departed: BTreeMap<String, f64>,
 }
@@ -141,6 +143,7 @@
             orphans: BTreeMap::new(),
             garbage: Vec::new(),
             events: Vec::new(),
+            changed: true,
             departed: BTreeMap::new(),
         }
     }
@@ -431,6 +434,7 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
+        self.changed = true;
         worker.free.add(&held.spec, 1.0);
         if !worker.held.iter().any(Held::occupies) {
             worker.idle_since = now;
@@ -504,14 +508,17 @@
             worker.leaving = None;
         }
         if report.session > worker.session {
+            self.changed = true;
             worker.session_at = now;
         }
         worker.session = report.session;
         worker.seq = report.seq;
         if report.token == term && worker.fenced_at.is_none() {
+            self.changed = true;
             worker.fenced_at = Some(now);
         }
         if report.notice_s.is_some() && worker.notice_until.is_none() {
+            self.changed = true;
             self.events
                 .push((true, format!("{} will be taken back", report.machine)));
         }
@@ -541,9 +548,7 @@
             let mut at = 0;
             while at < worker.held.len() {
                 let h = &worker.held[at];
-                let there = seen
-                    .get(&h.attempt)
-                    .is_some_and(|t| t.task == h.task_name());
+                let there = seen.get(&h.attempt).is_some_and(|t| h.is_called(&t.task));
                 let gone = !there
                     && fenced
                     && h.session == report.session
@@ -847,11 +852,15 @@
             .types
             .get(&self.workers[name].machine_type)
             .map_or(60.0, |t| t.boot_s);
-        let ratios: HashMap<String, f64> = self.workers[name]
-            .held
-            .iter()
-            .map(|h| (h.spec.class.clone(), self.class_ratio(&h.spec.class)))
-            .collect();
+        // Few machines are about to go: only for those is more looked at.
+        let ratios: HashMap<String, f64> = match &self.workers[name].notice_until {
+            Some(_) => self.workers[name]
+                .held
+                .iter()
+                .map(|h| (h.spec.class.clone(), self.class_ratio(&h.spec.class)))
+                .collect(),
+            None => HashMap::new(),
+        };
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -1300,6 +1309,25 @@
         Some((job.finished.len(), running))
     }
 
+    /// CPUs of machines that are up: starting or stopping a task, fetching an
+    /// image, running, free.
+    #[must_use]
+    pub fn use_of_cpus(&self) -> [f64; 4] {
+        let mut sums = [0.0; 4];
+        for worker in self.workers.values().filter(|w| w.up()) {
+            sums[3] += worker.free.cpus;
+            for held in worker.held.iter().filter(|h| h.occupies()) {
+                let at = match held.phase {
+                    Phase::On(TaskState::Fetching) => 1,
+                    Phase::On(TaskState::Running) => 2,
+                    _ => 0,
+                };
+                sums[at] += held.spec.cpus;
+            }
+        }
+        sums
+    }
+
     /// Chunks that a job's finished tasks may be kept in.
     #[must_use]
     pub fn chunk_size(&self) -> u32 {
--- a/crates/tallygauge-sched/src/demand.rs
+++ b/crates/tallygauge-sched/src/demand.rs
@@ -46,6 +46,10 @@
     /// machines on their way will take.
     #[must_use]
     pub fn rentals(&self, now: f64) -> Vec<Rental> {
+        let mut groups = self.groups(now);
+        if groups.is_empty() {
+            return Vec::new();
+        }
         let within = self.within_guarantee();
         let mut virtuals: Vec<Virtual> = self
             .workers
@@ -73,7 +77,6 @@
             .zip(&self.ledgers)
             .map(|(t, l)| (t.cpus_max - l.cpus, t.gpus_max - l.gpus))
             .collect();
-        let mut groups = self.groups(now);
         groups.sort_by(|a, b| {
             let (x, y) = (&self.jobs[&a.job], &self.jobs[&b.job]);
             within
--- a/crates/tallygauge-sched/src/mapping.rs
+++ b/crates/tallygauge-sched/src/mapping.rs
@@ -278,6 +278,10 @@
     /// marks running ones to be stopped. Returns how many were placed and how
     /// many stopped.
     pub fn plan(&mut self, now: f64, preempt: bool) -> (usize, usize) {
+        let groups = self.groups(now);
+        if groups.is_empty() {
+            return (0, 0);
+        }
         let within = self.within_guarantee();
         let mut free: BTreeMap<String, Room> = BTreeMap::new();
         let mut soon: BTreeMap<String, Room> = BTreeMap::new();
@@ -293,8 +297,7 @@
             }
             soon.insert(worker.name.clone(), room);
         }
-        let mut heap: BinaryHeap<Candidate> = self
-            .groups(now)
+        let mut heap: BinaryHeap<Candidate> = groups
             .into_iter()
             .map(|group| Candidate {
                 rank: self.best_possible(&group, &within, now),
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -260,6 +260,14 @@
         format!("{}/{}", self.spec.id, self.index)
     }
 
+    /// Whether this is its task's name.
+    #[must_use]
+    pub fn is_called(&self, name: &str) -> bool {
+        name.strip_prefix(self.spec.id.as_str())
+            .and_then(|rest| rest.strip_prefix('/'))
+            .is_some_and(|index| index.parse() == Ok(self.index))
+    }
+
     /// Run time in this attempt so far.
     #[must_use]
     pub fn ran_s(&self, now: f64) -> f64 {
--- a/crates/tallygauge/src/control.rs
+++ b/crates/tallygauge/src/control.rs
@@ -87,12 +87,17 @@
                     .map(|j| j.waiting.len() + j.resumes.len() as u32)
                     .sum();
                 let up = c.workers.values().filter(|w| w.up()).count();
+                let [starting, fetching, busy, free] = c.use_of_cpus();
                 tracing::info!(
                     jobs = c.jobs.len(),
                     running,
                     waiting,
                     machines = c.workers.len(),
                     up,
+                    cpus_starting = starting,
+                    cpus_fetching = fetching,
+                    cpus_running = busy,
+                    cpus_free = free,
                     "summary"
                 );
             });
@@ -262,14 +267,18 @@
 
 /// Makes finished tasks durable: whole jobs at once, others now and then.
 pub async fn finish(node: &Arc<Node>, term_guard: Guard) {
-    let pause = Duration::from_secs_f64(node.settings.deployment.workers.report_s * 0.05);
-    let mut turn = 0u32;
+    let report = node.settings.deployment.workers.report_s;
+    let pause = Duration::from_secs_f64(report * 0.05);
+    let most = Duration::from_secs_f64(report * 0.4);
+    let mut wrote = node.now();
     loop {
-        tokio::time::sleep(pause).await;
-        turn = turn.wrapping_add(1);
-        let due = node
-            .with_cluster(|c| c.finishes(!turn.is_multiple_of(8)))
-            .unwrap_or_default();
+        let _ = tokio::time::timeout(most, node.wake_finish.notified()).await;
+        let now = node.now();
+        let all = now - wrote > report * 0.4;
+        if all {
+            wrote = now;
+        }
+        let due = node.with_cluster(|c| c.finishes(!all)).unwrap_or_default();
         let (complete, parts): (Vec<Finish>, Vec<Finish>) =
             due.into_iter().partition(|f| f.complete);
         for finish in complete {
@@ -278,6 +287,7 @@
             }
         }
         progress(node, &term_guard, parts).await;
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/tallygauge/src/node.rs
+++ b/crates/tallygauge/src/node.rs
@@ -167,6 +167,8 @@
     pub queries: mpsc::Sender<Query>,
     /// Something changed that a round should look at.
     pub wake: Notify,
+    /// Tasks ended: progress should be made durable.
+    pub wake_finish: Notify,
     /// The cloud should be looked at.
     pub wake_cloud: Notify,
     /// The term is lost.
@@ -213,6 +215,7 @@
             queries,
             wake: Notify::new(),
             wake_cloud: Notify::new(),
+            wake_finish: Notify::new(),
             deposed: Notify::new(),
             role_changed: Notify::new(),
             reached: Mutex::new(false),
--- a/crates/tallygauge/src/workers.rs
+++ b/crates/tallygauge/src/workers.rs
@@ -31,6 +31,7 @@
     let now = node.now();
     let fence = node.fence_s();
     let mut deposed = None;
+    let mut changed = false;
     let answer = {
         let mut lead = node.lock(&node.lead);
         match lead.as_mut() {
@@ -53,6 +54,7 @@
                         if cluster.on_report(now, &report) == Verdict::Dead {
                             return CheckIn::NotNow;
                         }
+                        changed = std::mem::take(&mut cluster.changed);
                         let commands = cluster.commands(&report.machine, now);
                         cluster.sent(&report.machine, &commands);
                         cluster.answered(&report.machine, now);
@@ -71,7 +73,10 @@
     }
     match answer {
         Some(answer) => {
-            node.wake.notify_one();
+            if changed {
+                node.wake.notify_one();
+                node.wake_finish.notify_one();
+            }
             CheckIn::Take(answer)
         }
         None => {
@@ -146,4 +151,5 @@
         node.hear_of(term, None);
     }
     node.wake.notify_one();
+    node.wake_finish.notify_one();
 }
