--- a/crates/tallygauge-sched/src/demand.rs
+++ b/crates/tallygauge-sched/src/demand.rs
@@ -137,7 +137,8 @@
             };
             // Tasks that are short against a boot follow one another on the
             // same room: a machine of its own for each would come too late.
-            new_for += (run / (t.boot_s * self.cfg.horizon_boots)).min(1.0);
+            let horizon = (t.boot_s * self.cfg.horizon_boots).max(0.4 * self.slack(job, run, now));
+            new_for += (run / horizon).min(1.0);
             if new_for < 1.0
                 && virtuals
                     .iter()
@@ -158,6 +159,17 @@
         }
     }
 
+    /// Time that a task of the job could still wait and end in time.
+    fn slack(&self, job: &Job, run: f64, now: f64) -> f64 {
+        let soft = self.cfg.class_due_s.get(&job.spec.class).copied();
+        let due = match (job.spec.deadline_s, soft) {
+            (Some(a), Some(b)) => a.min(b),
+            (Some(a), None) | (None, Some(a)) => a,
+            (None, None) => return 0.0,
+        };
+        job.accepted_at + due - now - run
+    }
+
     fn kind_allowed(&self, job: &Job, machine_type: &str, zone: &str, spot: bool) -> bool {
         (job.spec.spot || !spot)
             && job
--- a/crates/tallygauge/tests/failures.rs
+++ b/crates/tallygauge/tests/failures.rs
@@ -244,20 +244,25 @@
     let (a, _ta) = world.node("n-a");
     assert!(until(30.0, async || leads(&a)).await);
     let (b, _tb) = world.node("n-b");
-    let (id, body) = world.job(1, 8, 4.0, 6.0);
+    let (id, body) = world.job(1, 8, 4.0, 3.0);
     accepted(&b, &body).await;
     let started = async || world.inner.lock().unwrap().starts.len();
     assert!(until(60.0, async || started().await == 4).await);
     world.inner.lock().unwrap().hold_watches = true;
-    tokio::time::sleep(Duration::from_secs(3)).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
     assert_eq!(
         status_of(&users::cancel(&b, &id).await),
         Some(JobStatus::Cancelled)
     );
     assert!(a.with_cluster(|c| c.jobs.contains_key(&id)).unwrap());
     // Room for the rest comes free, but its placement requires the record.
-    tokio::time::sleep(Duration::from_secs(8)).await;
-    assert_eq!(started().await, 4);
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let done = a.with_cluster(|c| c.counts(&id)).flatten();
+    assert_eq!(
+        (started().await, done),
+        (4, None),
+        "it learned from the refusal"
+    );
     world.assert_rules();
 }
 
