A leader that workers can't reach gives way to one they call on

Cause: a leader cut off from workers alone keeps its term while their leases run out, since followers send them back to it. It now asks its peers when nobody has called for 0.3 of a lease, and steps down if workers call on them. Test: a_leader_that_workers_cannot_reach_gives_way_before_their_leases_end. The hint RPC that nobody sent is gone.

--- a/crates/tallygauge/src/leader.rs
+++ b/crates/tallygauge/src/leader.rs
@@ -80,6 +80,9 @@
         node.hear_of(terms.term, terms.leader.as_ref().map(|l| l.node.as_str()));
         match &terms.leader {
             Some(_) => follow(&node, terms.revision).await,
+            None if node.now() < *node.lock(&node.abstains_until) => {
+                tokio::time::sleep(ttl / 4).await;
+            }
             None => {
                 let lease = match node.state.grant(ttl).await {
                     Ok(lease) => lease,
@@ -174,7 +177,7 @@
         cluster: None,
         confirmed: asked,
         watched: asked,
-        answered: 0,
+        called: node.now(),
     };
     Some(lead)
 }
@@ -205,6 +208,14 @@
         .set_rates(limits.rps * share, limits.write_rps * share);
 }
 
+/// Gives the term up to a node that workers can reach, and lets others go
+/// first for a while.
+pub fn give_way(node: &Node) {
+    let pause = node.settings.deployment.workers.lease_s;
+    *node.lock(&node.abstains_until) = node.now() + pause;
+    node.step_down("workers reach other nodes only");
+}
+
 async fn lost(node: &Node, term: u64) {
     loop {
         let lead = node.lock(&node.lead).as_ref().map(|l| l.term);
--- a/crates/tallygauge/src/node.rs
+++ b/crates/tallygauge/src/node.rs
@@ -120,8 +120,8 @@
     pub confirmed: f64,
     /// Start of the last watch that was answered.
     pub watched: f64,
-    /// Check-ins answered in this term.
-    pub answered: u64,
+    /// When a worker last called.
+    pub called: f64,
 }
 
 /// Task counts of open jobs, for display.
@@ -175,6 +175,10 @@
     pub deposed: Notify,
     /// The role changed.
     pub role_changed: Notify,
+    /// When a worker last called on this node while it did not lead.
+    pub called_at: Mutex<f64>,
+    /// Does not stand for the lead before this time.
+    pub abstains_until: Mutex<f64>,
     /// The state service has been reached.
     pub reached: Mutex<bool>,
 }
@@ -218,6 +222,8 @@
             wake_finish: Notify::new(),
             deposed: Notify::new(),
             role_changed: Notify::new(),
+            called_at: Mutex::new(f64::NEG_INFINITY),
+            abstains_until: Mutex::new(f64::NEG_INFINITY),
             reached: Mutex::new(false),
         };
         (Arc::new(node), questions)
--- a/crates/tallygauge/src/peers.rs
+++ b/crates/tallygauge/src/peers.rs
@@ -1,9 +1,9 @@
 //! Controller to controller: gRPC on `back`. Hints and display only.
 
-use crate::node::Node;
+use crate::{leader, node::Node, workers};
 use std::{sync::Arc, time::Duration};
 use tallygauge_wire::peer::{
-    Announcement, ChangedReply, ChangedRequest, JobProgress, ProgressReply, ProgressRequest,
+    Announcement, JobProgress, ProgressReply, ProgressRequest,
     peer_client::PeerClient,
     peer_server::{Peer, PeerServer},
 };
@@ -27,6 +27,7 @@
         Ok(Response::new(Announcement {
             term: role.term,
             leader: role.leader.unwrap_or_default(),
+            workers_call: workers::called_of_late(&self.0),
         }))
     }
 
@@ -48,14 +49,6 @@
             .ok_or_else(|| Status::unavailable("does not lead"))?;
         Ok(Response::new(ProgressReply { jobs }))
     }
-
-    async fn changed(
-        &self,
-        _request: Request<ChangedRequest>,
-    ) -> Result<Response<ChangedReply>, Status> {
-        self.0.wake.notify_one();
-        Ok(Response::new(ChangedReply {}))
-    }
 }
 
 /// Serves the peers. Returns only when it can't listen.
@@ -102,6 +95,7 @@
                 let announcement = Announcement {
                     term: role.term,
                     leader: role.leader.clone().unwrap_or_default(),
+                    workers_call: false,
                 };
                 tokio::spawn(async move {
                     if let Ok(answer) = client.announce(announcement).await {
@@ -112,6 +106,20 @@
                 });
             }
         }
+        if mine && workers::none_call(&node) {
+            for (_, client) in &clients {
+                let hello = Announcement {
+                    term: role.term,
+                    leader: node.settings.node_name.clone(),
+                    workers_call: false,
+                };
+                let answer = client.clone().announce(hello).await;
+                if answer.is_ok_and(|a| a.into_inner().workers_call) {
+                    leader::give_way(&node);
+                    break;
+                }
+            }
+        }
         if !mine {
             let leader = clients.iter().find(|c| Some(&c.0) == role.leader.as_ref());
             if let Some((_, client)) = leader {
--- a/crates/tallygauge/src/workers.rs
+++ b/crates/tallygauge/src/workers.rs
@@ -19,6 +19,28 @@
     Malformed(String),
 }
 
+/// Whether workers have called on this node of late, though it does not lead.
+#[must_use]
+pub fn called_of_late(node: &Node) -> bool {
+    let at = *node.lock(&node.called_at);
+    node.now() - at < node.settings.deployment.workers.report_s * 2.0
+}
+
+/// Whether this node leads and workers that should call on it do not, for long
+/// enough that their leases are in danger.
+#[must_use]
+pub fn none_call(node: &Node) -> bool {
+    let now = node.now();
+    let patience = node.settings.deployment.workers.lease_s * 0.3;
+    node.lock(&node.lead).as_ref().is_some_and(|lead| {
+        let expected = lead
+            .cluster
+            .as_ref()
+            .is_some_and(|c| c.workers.values().any(|w| w.up() || !w.held.is_empty()));
+        expected && now - lead.called > patience
+    })
+}
+
 /// `POST /checkin`
 pub fn check_in(node: &Node, body: &[u8]) -> CheckIn {
     let report: Report = match serde_json::from_slice(body) {
@@ -47,7 +69,7 @@
             }
             Some(lead) => {
                 let term = lead.term;
-                lead.answered += 1;
+                lead.called = now;
                 let commands = match lead.cluster.as_mut() {
                     None => Vec::new(),
                     Some(cluster) => {
@@ -80,6 +102,7 @@
             CheckIn::Take(answer)
         }
         None => {
+            *node.lock(&node.called_at) = now;
             let leader = node.lock(&node.role).leader.clone();
             match leader {
                 Some(name) if name != node.settings.node_name => CheckIn::Elsewhere(Redirect {
--- a/crates/tallygauge/tests/failures.rs
+++ b/crates/tallygauge/tests/failures.rs
@@ -4,9 +4,10 @@
 
 use std::{sync::Arc, time::Duration};
 use tallygauge::{
+    leader::give_way,
     node::Node,
     users::{self, Reply},
-    workers::{CheckIn, check_in},
+    workers::{CheckIn, called_of_late, check_in, none_call},
 };
 use tallygauge_state::{Class, Outcome};
 use tallygauge_wire::{
@@ -144,6 +145,33 @@
     world.assert_rules();
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_workers_cannot_reach_gives_way_before_their_leases_end() {
+    let world = World::new();
+    tokio::spawn(world.clone().play());
+    let (a, _ta) = world.node("n-a");
+    assert!(until(30.0, async || leads(&a)).await);
+    let (b, _tb) = world.node("n-b");
+    let (_, body) = world.job(1, 2, 8.0, 60.0);
+    accepted(&a, &body).await;
+    assert!(until(60.0, async || world.inner.lock().unwrap().starts.len() == 2).await);
+    assert!(!none_call(&a));
+    // Its workers are cut off from it; the state service is not.
+    world.forget_node("n-a");
+    assert!(until(LEASE_S * 0.5, async || none_call(&a)).await);
+    assert!(called_of_late(&b), "they call on the other");
+    give_way(&a);
+    assert!(until(5.0, async || leads(&b)).await);
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert!(!leads(&a));
+    assert_eq!(
+        world.inner.lock().unwrap().starts.len(),
+        2,
+        "no lease ended"
+    );
+    world.assert_rules();
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_leader_without_a_confirmed_term_stops_answering_workers() {
     let world = World::new();
