--- a/crates/tallygauge/src/cloud.rs
+++ b/crates/tallygauge/src/cloud.rs
@@ -29,7 +29,9 @@
     let timeout = Duration::from_secs(4);
     match node.http.call(method, &url, body, timeout).await {
         Ok((StatusCode::OK, bytes)) => serde_json::from_slice(&bytes).map_err(|error| {
-            tracing::warn!(%error, path, "malformed answer from the cloud, taken as none");
+            if node.complaints.first(&format!("cloud: {error}")) {
+                tracing::warn!(%error, path, "malformed answer from the cloud, taken as none");
+            }
             Trouble::Unknown
         }),
         Ok((StatusCode::SERVICE_UNAVAILABLE, bytes))
--- a/crates/tallygauge/src/workers.rs
+++ b/crates/tallygauge/src/workers.rs
@@ -46,7 +46,9 @@
     let report: Report = match serde_json::from_slice(body) {
         Ok(report) => report,
         Err(error) => {
-            tracing::warn!(%error, "malformed check-in");
+            if node.complaints.first(&format!("check-in: {error}")) {
+                tracing::warn!(%error, "malformed check-in");
+            }
             return CheckIn::Malformed(error.to_string());
         }
     };
--- a/crates/tallygauge/tests/failures.rs
+++ b/crates/tallygauge/tests/failures.rs
@@ -294,6 +294,34 @@
     world.assert_rules();
 }
 
+#[tokio::test(start_paused = true)]
+async fn answers_cut_short_are_taken_as_none() {
+    let world = World::new();
+    tokio::spawn(world.clone().play());
+    let (a, _ta) = world.node("n-a");
+    let (id, body) = world.job(1, 8, 4.0, 6.0);
+    accepted(&a, &body).await;
+    let started = async || !world.inner.lock().unwrap().starts.is_empty();
+    assert!(until(60.0, async || started().await).await);
+    // From here on every transaction is made, and none is answered well.
+    world.inner.lock().unwrap().garbled = true;
+    let (other, next) = world.job(2, 1, 1.0, 1.0);
+    for _ in 0..10 {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(users::submit(&a, &next).await.status(), 503);
+        assert_eq!(users::status(&a, "req-000077").await.status(), 503);
+        assert!(matches!(
+            check_in(&a, b"{\"bench\":\"x\""),
+            CheckIn::Malformed(_)
+        ));
+    }
+    world.inner.lock().unwrap().garbled = false;
+    for job in [&id, &other] {
+        assert!(until(120.0, async || ask(&a, job).await == Some(JobStatus::Done)).await);
+    }
+    world.assert_rules();
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_submission_whose_answer_was_lost_is_kept_once() {
     let world = World::new();
--- a/crates/tallygauge/tests/world/mod.rs
+++ b/crates/tallygauge/tests/world/mod.rs
@@ -68,6 +68,8 @@
     pub cut: BTreeSet<String>,
     /// Transactions that are made but whose answer is lost.
     pub lose_answers: u32,
+    /// Answers of state service and cloud are cut short.
+    pub garbled: bool,
     /// Watches of jobs hang.
     pub hold_watches: bool,
     /// Starts, with time, task and worker.
@@ -102,11 +104,16 @@
             tokio::time::sleep(Duration::from_millis(3)).await;
             let rest = url.strip_prefix("http://").unwrap_or_default();
             let (host, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
-            match host {
+            let answer = match host {
                 "127.0.0.1:7002" => world.state(&node, &method, path, &body).await,
                 "127.0.0.1:7001" => Ok(world.cloud(&method, path, &body)),
                 _ => world.orders(host, &body).await,
-            }
+            };
+            let garbled = world.inner.lock().unwrap().garbled;
+            answer.map(|(code, body)| {
+                let keep = if garbled { body.len() / 2 } else { body.len() };
+                (code, body.slice(..keep))
+            })
         })
     }
 }
@@ -135,6 +142,7 @@
                 cut: BTreeSet::new(),
                 lose_answers: 0,
                 hold_watches: false,
+                garbled: false,
                 starts: Vec::new(),
                 broken: Vec::new(),
                 bounced: 0,
