Only a check-in proves that a start on its way is gone; done jobs keep their shape

Found by reading: a direct message's answer can be produced before the worker has the answer to its check-in that carries a start. If that attempt was to stop, its absence released the task, which could then start elsewhere and, a moment later, there. Test: a_start_that_may_be_on_its_way_is_not_taken_for_gone. And a job done while a second attempt of a task still runs keeps its shape on record, so that a take-over counts that attempt against the team.

--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -24,6 +24,17 @@
     Deposed(u64),
 }
 
+/// How a report came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// As a check-in. The worker sends one only when it has taken or given up
+    /// the answer to the one before.
+    CheckIn,
+    /// With the answer to a direct message. An answer to a check-in, with
+    /// starts in it, may still be on its way to the worker.
+    Direct,
+}
+
 /// A worker's record to be written, and what it is conditioned on.
 #[derive(Debug, Clone)]
 pub struct PlacementWrite {
@@ -474,7 +485,7 @@
     }
 
     /// Takes up a worker's report.
-    pub fn on_report(&mut self, now: f64, report: &Report) -> Verdict {
+    pub fn on_report(&mut self, now: f64, report: &Report, source: Source) -> Verdict {
         if report.token > self.cfg.term {
             return Verdict::Deposed(report.token);
         }
@@ -530,11 +541,11 @@
         if report.session > 1 {
             self.end_session(&report.machine, report.session - 1, now);
         }
-        self.take_tasks(now, report);
+        self.take_tasks(now, report, source);
         Verdict::Taken
     }
 
-    fn take_tasks(&mut self, now: f64, report: &Report) {
+    fn take_tasks(&mut self, now: f64, report: &Report, source: Source) {
         let name = report.machine.as_str();
         let fenced = report.token == self.cfg.term;
         let mut seen: HashMap<u64, &TaskReport> = HashMap::new();
@@ -558,7 +569,9 @@
                         Phase::Planned => false,
                         // A start of this term is sent again until it is
                         // seen, unless it is not wanted any more.
-                        Phase::Recorded => h.inherited || h.stop.is_some(),
+                        Phase::Recorded => {
+                            h.inherited || (h.stop.is_some() && source == Source::CheckIn)
+                        }
                         Phase::On(_) | Phase::Ended(_) => true,
                     };
                 if gone {
--- a/crates/tallygauge-sched/src/lib.rs
+++ b/crates/tallygauge-sched/src/lib.rs
@@ -12,7 +12,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use cluster::{Cluster, DirectMessage, Finish, PlacementWrite, Verdict};
+pub use cluster::{Cluster, DirectMessage, Finish, PlacementWrite, Source, Verdict};
 pub use demand::{Rental, SpotKind};
 pub use model::*;
 pub use ranges::RangeSet;
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -110,7 +110,7 @@
     c.set_types(&types());
     for m in machines {
         assert_eq!(
-            c.on_report(now, &report(m, 1, 1, TERM, vec![])),
+            c.on_report(now, &report(m, 1, 1, TERM, vec![]), Source::CheckIn),
             Verdict::Taken
         );
     }
@@ -299,7 +299,7 @@
                 _ => c.tick(now),
             }
             if what == 1 { tasks.clear(); }
-            c.on_report(now, &report(name, session[at], seq, TERM, tasks));
+            c.on_report(now, &report(name, session[at], seq, TERM, tasks), Source::CheckIn);
             for w in c.workers.values() {
                 let full = if w.machine_type == "large" { 16.0 } else { 4.0 };
                 let held: f64 = w.held.iter().filter(|h| h.occupies()).map(|h| h.spec.cpus).sum();
@@ -333,7 +333,7 @@
             .collect();
         report("sa", 1, seq, TERM, tasks)
     };
-    c.on_report(101.0, &run(5));
+    c.on_report(101.0, &run(5), Source::CheckIn);
     for h in &mut c.workers.get_mut("sa").unwrap().held {
         h.running_since = Some(if h.index == 0 { 66.0 } else { 99.0 });
     }
@@ -365,7 +365,7 @@
             (t.state, t.cause, t.kept) = (TaskState::Ended, Some(EndCause::Halted), Some(true));
         }
     }
-    c.on_report(103.0, &ended);
+    c.on_report(103.0, &ended, Source::CheckIn);
     assert_eq!(
         round(&mut c, 103.0),
         vec![("req-2".to_string(), 0, "sa".to_string())]
@@ -403,15 +403,19 @@
     c.direct_done(&message, false, false, 104.0);
     let (name, attempt) = start_of(&c, "sa", 104.0).remove(0);
     let done = task(&name, attempt, TaskState::Ended, Some(EndCause::Done));
-    c.on_report(110.0, &report("sa", 1, 5, TERM, vec![done.clone()]));
+    c.on_report(
+        110.0,
+        &report("sa", 1, 5, TERM, vec![done.clone()]),
+        Source::CheckIn,
+    );
     let finish = c.finishes(true).remove(0);
     c.finish_written(&finish, 110.0);
     assert!(c.commands("sa", 110.0).is_empty(), "must not be cleared");
     // Absent from a report it would still hold its place, being uncertain.
-    c.on_report(111.0, &report("sa", 1, 6, TERM, vec![]));
+    c.on_report(111.0, &report("sa", 1, 6, TERM, vec![]), Source::CheckIn);
     assert_eq!(c.workers["sa"].held.len(), 1);
     // The next session knows nothing of it, and a late start is refused there.
-    c.on_report(140.0, &report("sa", 2, 1, TERM, vec![]));
+    c.on_report(140.0, &report("sa", 2, 1, TERM, vec![]), Source::CheckIn);
     assert!(c.workers["sa"].held.is_empty());
 }
 
@@ -441,23 +445,39 @@
     };
     // A report older than the fence proves nothing: a start may be under way.
     let mut c = fresh();
-    c.on_report(101.0, &report("sa", 1, 4, TERM - 1, vec![]));
+    c.on_report(
+        101.0,
+        &report("sa", 1, 4, TERM - 1, vec![]),
+        Source::CheckIn,
+    );
     assert!(round(&mut c, 101.0).is_empty());
-    c.on_report(102.0, &report("sa", 1, 5, TERM, vec![]));
+    c.on_report(102.0, &report("sa", 1, 5, TERM, vec![]), Source::CheckIn);
     assert_eq!(round(&mut c, 102.0).len(), 1);
     // The session ended.
     let mut c = fresh();
-    c.on_report(101.0, &report("sa", 2, 1, TERM - 1, vec![]));
+    c.on_report(
+        101.0,
+        &report("sa", 2, 1, TERM - 1, vec![]),
+        Source::CheckIn,
+    );
     assert_eq!(round(&mut c, 101.0).len(), 1);
     // Nothing is heard: until no earlier leader can have kept its lease alive.
     let mut c = fresh();
     let bound = 100.0 + 17.0 + 20.0;
     for now in [110.0, 125.0, bound] {
-        c.on_report(now, &report("l1a", 1, now as u64, TERM, vec![]));
+        c.on_report(
+            now,
+            &report("l1a", 1, now as u64, TERM, vec![]),
+            Source::CheckIn,
+        );
         c.tick(now);
         assert!(round(&mut c, now).is_empty(), "too soon at {now}");
     }
-    c.on_report(bound + 2.0, &report("l1a", 1, 900, TERM, vec![]));
+    c.on_report(
+        bound + 2.0,
+        &report("l1a", 1, 900, TERM, vec![]),
+        Source::CheckIn,
+    );
     c.tick(bound + 2.0);
     assert_eq!(round(&mut c, bound + 2.0).len(), 1);
     // The machine is not in a list asked for well after it was known.
@@ -506,7 +526,7 @@
         c.workers["sa"].leaving,
         Some((LeaveReason::NoBoot, _))
     ));
-    c.on_report(126.0, &report("sa", 1, 1, TERM, vec![]));
+    c.on_report(126.0, &report("sa", 1, 1, TERM, vec![]), Source::CheckIn);
     assert!(c.workers["sa"].leaving.is_none(), "it lives after all");
 }
 
@@ -539,3 +559,24 @@
     // Every name here has an s, so all machines count as spot ones.
     assert!(zones("req-3").is_empty());
 }
+
+#[test]
+fn a_start_that_may_be_on_its_way_is_not_taken_for_gone() {
+    // The answer to a check-in carries a start; before the worker has it, a
+    // direct message is answered. That report can't know of the start yet.
+    let mut c = cluster(&["sa"], 100.0);
+    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
+    round(&mut c, 100.0);
+    let commands = c.commands("sa", 100.0);
+    c.sent("sa", &commands);
+    let held = &mut c.workers.get_mut("sa").unwrap().held[0];
+    held.stop = Some(Stop {
+        reason: StopReason::Drained,
+        at: 100.5,
+    });
+    c.on_report(100.6, &report("sa", 1, 5, TERM, vec![]), Source::Direct);
+    assert!(c.jobs["req-1"].resumes.is_empty() && c.jobs["req-1"].waiting.is_empty());
+    // The next check-in comes only after that answer was taken or given up.
+    c.on_report(101.0, &report("sa", 1, 6, TERM, vec![]), Source::CheckIn);
+    assert_eq!(c.jobs["req-1"].waiting.len(), 1);
+}
--- a/crates/tallygauge/src/control.rs
+++ b/crates/tallygauge/src/control.rs
@@ -294,20 +294,22 @@
 /// Calls a job done. Conditioned on its record, as a cancellation is, so that
 /// only one of them comes true.
 async fn complete_job(node: &Node, term_guard: &Guard, finish: &Finish) -> bool {
-    let Some((tasks, kept)) = node
+    let Some((spec, kept, none_held)) = node
         .with_cluster(|c| {
             c.jobs
                 .get(&finish.job)
-                .map(|j| (j.spec.tasks, j.kept_chunks.clone()))
+                .map(|j| (j.spec.clone(), j.kept_chunks.clone(), j.holds.is_empty()))
         })
         .flatten()
     else {
         return true;
     };
+    let tasks = spec.tasks;
     let over = OverRecord {
         status: JobStatus::Done,
         done: tasks,
-        spec: None,
+        // Second attempts that still run must be counted after a take-over.
+        spec: (!none_held).then(|| (*spec).clone()),
     };
     let key = open_key(&finish.job);
     let mut txn = Transaction {
--- a/crates/tallygauge/src/users.rs
+++ b/crates/tallygauge/src/users.rs
@@ -28,7 +28,7 @@
     pub status: JobStatus,
     /// Tasks done.
     pub done: u32,
-    /// Kept of a cancelled job, since its tasks may still be on machines.
+    /// Kept where tasks of the job may still be on machines.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub spec: Option<JobSpec>,
 }
--- a/crates/tallygauge/src/workers.rs
+++ b/crates/tallygauge/src/workers.rs
@@ -2,7 +2,7 @@
 
 use crate::node::Node;
 use std::{sync::Arc, time::Duration};
-use tallygauge_sched::{DirectMessage, Verdict};
+use tallygauge_sched::{DirectMessage, Source, Verdict};
 use tallygauge_state::http::NoAnswer;
 use tallygauge_wire::workers::{DirectCommands, Redirect, Report, ReportAnswer};
 
@@ -75,7 +75,7 @@
                 let commands = match lead.cluster.as_mut() {
                     None => Vec::new(),
                     Some(cluster) => {
-                        if cluster.on_report(now, &report) == Verdict::Dead {
+                        if cluster.on_report(now, &report, Source::CheckIn) == Verdict::Dead {
                             return CheckIn::NotNow;
                         }
                         changed = std::mem::take(&mut cluster.changed);
@@ -167,7 +167,7 @@
         cluster.direct_done(&message, report.is_some(), never_sent, now);
         if let Some(report) = &report
             && report.machine == message.worker
-            && let Verdict::Deposed(term) = cluster.on_report(now, report)
+            && let Verdict::Deposed(term) = cluster.on_report(now, report, Source::Direct)
         {
             deposed = Some(term);
         }
