A machine that still fetches an image is not taken for one that has it

Cause, by reading: an image counted as present from the moment a task that needs it was placed, so a second task went there and waited for the fetch beside machines that had it.

--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -321,6 +321,7 @@
                 strays: Vec::new(),
                 free,
                 images: Vec::new(),
+                fetching: BTreeMap::new(),
                 leaving: None,
                 return_sent: false,
                 direct_busy: false,
@@ -447,6 +448,7 @@
         };
         self.changed = true;
         worker.free.add(&held.spec, 1.0);
+        worker.drop_fetch(&held.spec.image);
         if !worker.held.iter().any(Held::occupies) {
             worker.idle_since = now;
         }
@@ -670,6 +672,7 @@
                 held.running_since = Some(if held.inherited { held.placed_at } else { now });
                 let (image, gb) = (held.spec.image.clone(), held.spec.image_gb);
                 held.phase = Phase::On(task.state);
+                worker.fetching.remove(&image);
                 worker.use_image(&image, gb, cache);
             } else {
                 held.phase = Phase::On(task.state);
--- a/crates/tallygauge-sched/src/mapping.rs
+++ b/crates/tallygauge-sched/src/mapping.rs
@@ -131,19 +131,17 @@
     }
 
     /// Time until a task of the group ends on a worker, were it started now.
-    pub(crate) fn time_on(&self, job: &Job, group: &Group, worker: &Worker) -> f64 {
+    pub(crate) fn time_on(&self, job: &Job, group: &Group, worker: &Worker, now: f64) -> f64 {
         let saved = group
             .resume
             .as_ref()
             .filter(|r| r.machine_type.as_ref() == Some(&worker.machine_type))
             .map_or(0.0, |r| r.saved_s);
-        let fetch = if worker.has_image(&job.spec.image) {
-            0.0
-        } else {
-            self.types
-                .get(&worker.machine_type)
-                .map_or(0.0, |t| job.spec.image_gb / t.fetch_gb_per_s.max(1e-3))
-        };
+        let rate = self
+            .types
+            .get(&worker.machine_type)
+            .map_or(f64::MAX, |t| t.fetch_gb_per_s);
+        let fetch = worker.fetch_s(&job.spec.image, job.spec.image_gb, rate, now);
         fetch + self.remaining(job, saved)
     }
 
@@ -257,7 +255,7 @@
             if tasks >= self.cfg.tasks_per_worker || !self.allowed(job, group, worker) {
                 continue;
             }
-            let time = self.time_on(job, group, worker);
+            let time = self.time_on(job, group, worker, now);
             let size = self
                 .types
                 .get(&worker.machine_type)
@@ -387,8 +385,9 @@
             .as_ref()
             .filter(|r| r.machine_type.as_ref() == Some(&w.machine_type))
             .map_or(0.0, |r| r.saved_s);
-        let cache = self.types.get(&w.machine_type).map_or(0.0, |t| t.cache_gb);
-        w.use_image(&spec.image, spec.image_gb, cache);
+        if let Some(t) = self.types.get(&w.machine_type) {
+            w.want_image(&spec, t, now);
+        }
         let held = Held {
             index,
             attempt,
@@ -434,7 +433,7 @@
             if !self.allowed(job, group, worker) {
                 continue;
             }
-            let time = self.time_on(job, group, worker);
+            let time = self.time_on(job, group, worker, now);
             let mut victims: Vec<(f64, &Held)> = worker
                 .held
                 .iter()
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -411,6 +411,8 @@
     pub free: Room,
     /// Images it should hold, least recently used first.
     pub images: Vec<(String, f64)>,
+    /// Images that it fetches now, and when each should be there.
+    pub fetching: BTreeMap<String, f64>,
     /// To be returned, and since when.
     pub leaving: Option<(LeaveReason, f64)>,
     /// The return was sent; the machine may go at any time.
@@ -463,8 +465,40 @@
         }
     }
 
-    pub(crate) fn has_image(&self, image: &str) -> bool {
-        self.images.iter().any(|i| i.0 == image)
+    /// Time until an image would be there, were it asked for now. Fetches
+    /// share the rate, so one waits for those under way.
+    pub(crate) fn fetch_s(&self, image: &str, gb: f64, gb_per_s: f64, now: f64) -> f64 {
+        if let Some(at) = self.fetching.get(image) {
+            return (at - now).max(0.0);
+        }
+        if self.images.iter().any(|i| i.0 == image) {
+            return 0.0;
+        }
+        let busy = self.fetching.values().fold(now, |a, b| a.max(*b)) - now;
+        busy + gb / gb_per_s.max(1e-3)
+    }
+
+    /// A task that needs an image is placed: the image is fetched if it is not
+    /// there.
+    pub(crate) fn want_image(&mut self, spec: &JobSpec, t: &MachineType, now: f64) {
+        let fetch = self.fetch_s(&spec.image, spec.image_gb, t.fetch_gb_per_s, now);
+        if fetch > 0.0 {
+            self.fetching
+                .entry(spec.image.clone())
+                .or_insert(now + fetch);
+        }
+        self.use_image(&spec.image, spec.image_gb, t.cache_gb);
+    }
+
+    /// A fetch that no task waits for any more is given up.
+    pub(crate) fn drop_fetch(&mut self, image: &str) {
+        let wanted = self
+            .held
+            .iter()
+            .any(|h| h.occupies() && h.spec.image == image);
+        if !wanted && self.fetching.remove(image).is_some() {
+            self.images.retain(|i| i.0 != image);
+        }
     }
 }
 
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -203,7 +203,7 @@
                 {
                     continue;
                 }
-                let time = c.time_on(job, &group, w);
+                let time = c.time_on(job, &group, w, now);
                 let size = if w.machine_type == "large" { 16.0 } else { 4.0 };
                 let score = time + c.packing(size, room.cpus, largest, w);
                 if spot.as_ref().is_none_or(|s| score < s.0) {
@@ -232,10 +232,12 @@
         let room = free.get_mut(&name).unwrap();
         room.cpus -= job.spec.cpus;
         room.memory_gb -= job.spec.memory_gb;
-        images
-            .get_mut(&name)
-            .unwrap()
-            .use_image(&job.spec.image, job.spec.image_gb, 20.0);
+        let w = images.get_mut(&name).unwrap();
+        let t = types()
+            .into_iter()
+            .find(|t| t.name == w.machine_type)
+            .unwrap();
+        w.want_image(&job.spec, &t, now);
         out.push((id, index, name));
     }
 }
@@ -580,3 +582,33 @@
     c.on_report(101.0, &report("sa", 1, 6, TERM, vec![]), Source::CheckIn);
     assert_eq!(c.jobs["req-1"].waiting.len(), 1);
 }
+
+#[test]
+fn a_machine_that_still_fetches_an_image_is_not_taken_for_one_that_has_it() {
+    // A second task of the image went to wherever its first task was placed,
+    // and waited there for most of the fetch beside machines that had it.
+    let mut c = cluster(&["sa", "s2b"], 100.0);
+    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
+    let first = round(&mut c, 100.0).remove(0).2;
+    let (name, attempt) = start_of(&c, &first, 100.0).remove(0);
+    let running = task(&name, attempt, TaskState::Running, None);
+    c.on_report(
+        103.0,
+        &report(&first, 1, 5, TERM, vec![running]),
+        Source::CheckIn,
+    );
+    let other = if first == "sa" { "s2b" } else { "sa" };
+    let s = spec(1, 1, 1.0);
+    let t = &types()[0];
+    let fetch = |c: &Cluster, on: &str, now| {
+        c.workers[on].fetch_s(&s.image, s.image_gb, t.fetch_gb_per_s, now)
+    };
+    assert_eq!(fetch(&c, &first, 103.0), 0.0);
+    assert_eq!(fetch(&c, other, 103.0), 2.5);
+    let w = c.workers.get_mut(other).unwrap();
+    w.want_image(&s, t, 103.0);
+    assert_eq!(fetch(&c, other, 104.0), 1.5, "under way is not there");
+    // Given up with the last task that waits for it.
+    c.workers.get_mut(other).unwrap().drop_fetch(&s.image);
+    assert_eq!(fetch(&c, other, 104.0), 2.5);
+}
