A leader that begins before it knows the machine types no longer loses the fleet

Cause: a restarted node can win the term before it has read the catalogue. Test: machines_known_before_their_types_have_their_room_later.

--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -164,6 +164,18 @@
         for t in types {
             self.types.insert(t.name.clone(), t.clone());
         }
+        // Machines may be known before their types are, as after a take-over
+        // by a node that has just begun.
+        for worker in self.workers.values_mut() {
+            let Some(t) = self.types.get(&worker.machine_type) else {
+                continue;
+            };
+            worker.free = Room::of_type(t);
+            for held in worker.held.iter().filter(|h| h.occupies()) {
+                worker.free.add(&held.spec, -1.0);
+            }
+        }
+        self.changed = true;
     }
 
     /// A machine type.
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -612,3 +612,38 @@
     c.workers.get_mut(other).unwrap().drop_fetch(&s.image);
     assert_eq!(fetch(&c, other, 104.0), 2.5);
 }
+
+#[test]
+fn machines_known_before_their_types_have_their_room_later() {
+    // A node that took over before it had read the catalogue saw no room on
+    // any machine, placed nothing, and returned the whole fleet as idle.
+    let mut c = Cluster::new(config(), 100.0, 16);
+    c.add_job(spec(1, 2, 1.5), 1, 90.0, &RangeSet::default());
+    let specs = HashMap::from([("req-1".to_string(), c.jobs["req-1"].spec.clone())]);
+    let record = WorkerRecord {
+        endpoint: "sa:1".into(),
+        machine_type: "small".into(),
+        zone: "a".into(),
+        spot: false,
+        tasks: vec![TaskRecord {
+            job: "req-1".into(),
+            index: 0,
+            attempt: 77,
+            session: 1,
+            saved_s: 0,
+            placed: 0,
+        }],
+        images: vec![],
+    };
+    c.inherit("sa", &record, 7, &specs, 100.0, 0.0);
+    let running = task("req-1/0", 77, TaskState::Running, None);
+    c.on_report(
+        101.0,
+        &report("sa", 1, 4, TERM, vec![running]),
+        Source::CheckIn,
+    );
+    assert!(round(&mut c, 101.0).is_empty());
+    c.set_types(&types());
+    assert_eq!(c.workers["sa"].free.cpus, 2.5);
+    assert_eq!(round(&mut c, 101.0).len(), 1);
+}
