--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -210,6 +210,7 @@
             holds: BTreeMap::new(),
             zones: BTreeMap::new(),
             errors: 0,
+            measured: BTreeMap::new(),
             spec: Arc::new(spec),
         };
         self.jobs.insert(job.spec.id.clone(), job);
@@ -807,13 +808,28 @@
             return;
         }
         let ratio = (whole / held.spec.expected_s).clamp(0.1, 10.0);
-        let usual = self.class_ratio(&held.spec.class);
         let pace = self.paces.entry(held.spec.class.clone()).or_default();
         // Old days fade: the last fifty or so tasks count.
         pace.ratio_sum = pace.ratio_sum * 0.98 + ratio;
         pace.count = pace.count * 0.98 + 1.0;
-        if let Some(worker) = self.workers.get_mut(name) {
-            worker.pace.0 += ratio / usual;
+        // A machine is judged against others by tasks of the same job: owners'
+        // estimates are wrong for whole jobs, and machines are not to blame.
+        let Some(job) = self.jobs.get_mut(&held.spec.id) else {
+            return;
+        };
+        let here = job.measured.entry(name.to_string()).or_default();
+        here.0 += whole;
+        here.1 += 1;
+        let (sum, count) = job
+            .measured
+            .iter()
+            .filter(|(other, _)| *other != name)
+            .fold((0.0, 0), |a, (_, m)| (a.0 + m.0, a.1 + m.1));
+        if count >= 2
+            && sum > 0.0
+            && let Some(worker) = self.workers.get_mut(name)
+        {
+            worker.pace.0 += whole / (sum / f64::from(count));
             worker.pace.1 += 1;
         }
     }
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -317,6 +317,8 @@
     pub zones: BTreeMap<String, u32>,
     /// Failures since the last success.
     pub errors: u32,
+    /// Run times of its tasks by machine: sum and number.
+    pub measured: BTreeMap<String, (f64, u32)>,
 }
 
 impl Job {
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -647,3 +647,47 @@
     assert_eq!(c.workers["sa"].free.cpus, 2.5);
     assert_eq!(round(&mut c, 101.0).len(), 1);
 }
+
+#[test]
+fn a_machine_is_not_called_slow_for_a_job_that_was_estimated_too_low() {
+    // Tasks that took three times what their owner said got the machine they
+    // happened to run on returned. Against other machines it was as fast.
+    let mut c = cluster(&["l1a", "l2b"], 100.0);
+    c.add_job(spec(1, 40, 4.0), 1, 90.0, &RangeSet::default());
+    c.cfg.teams[0].cpus_max = 100.0;
+    let (mut now, mut seq) = (100.0, 10);
+    for turn in 0..2 {
+        round(&mut c, now);
+        for (machine, takes) in [("l1a", 120.0), ("l2b", 120.0 + 240.0 * f64::from(turn))] {
+            let report_all = |c: &mut Cluster, now: f64, seq: u64, done: bool| {
+                let tasks = c.workers[machine]
+                    .held
+                    .iter()
+                    .filter(|h| h.occupies())
+                    .map(|h| match done {
+                        true => task(
+                            &h.task_name(),
+                            h.attempt,
+                            TaskState::Ended,
+                            Some(EndCause::Done),
+                        ),
+                        false => task(&h.task_name(), h.attempt, TaskState::Running, None),
+                    })
+                    .collect();
+                c.on_report(now, &report(machine, 1, seq, TERM, tasks), Source::CheckIn);
+            };
+            seq += 2;
+            report_all(&mut c, now, seq, false);
+            report_all(&mut c, now + takes, seq + 1, true);
+        }
+        now += 400.0;
+        for machine in ["l1a", "l2b"] {
+            seq += 2;
+            c.on_report(now, &report(machine, 1, seq, TERM, vec![]), Source::CheckIn);
+        }
+        c.tick(now);
+        let slow = |m: &str| matches!(c.workers[m].leaving, Some((LeaveReason::Slow, _)));
+        assert!(!slow("l1a"));
+        assert_eq!(slow("l2b"), turn == 1, "three times as slow as the other");
+    }
+}
