--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -242,6 +242,25 @@
     }
 }
 
+/// What an earlier leader left of worker `sa`: the first task of `req-1`.
+fn left_record() -> WorkerRecord {
+    WorkerRecord {
+        endpoint: "sa:1".into(),
+        machine_type: "small".into(),
+        zone: "a".into(),
+        spot: false,
+        tasks: vec![TaskRecord {
+            job: "req-1".into(),
+            index: 0,
+            attempt: 77,
+            session: 1,
+            saved_s: 0,
+            placed: 0,
+        }],
+        images: vec![],
+    }
+}
+
 fn any_job() -> impl Strategy<Value = (u32, u32, u8, u8, f64, bool, bool, Option<f64>)> {
     (
         1u32..7,
@@ -423,21 +442,7 @@
 
 #[test]
 fn what_an_earlier_leader_placed_is_held_until_surely_gone() {
-    let record = WorkerRecord {
-        endpoint: "sa:1".into(),
-        machine_type: "small".into(),
-        zone: "a".into(),
-        spot: false,
-        tasks: vec![TaskRecord {
-            job: "req-1".into(),
-            index: 0,
-            attempt: 77,
-            session: 1,
-            saved_s: 0,
-            placed: 0,
-        }],
-        images: vec![],
-    };
+    let record = left_record();
     let fresh = || {
         let mut c = cluster(&["l1a"], 100.0);
         c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
@@ -620,21 +625,7 @@
     let mut c = Cluster::new(config(), 100.0, 16);
     c.add_job(spec(1, 2, 1.5), 1, 90.0, &RangeSet::default());
     let specs = HashMap::from([("req-1".to_string(), c.jobs["req-1"].spec.clone())]);
-    let record = WorkerRecord {
-        endpoint: "sa:1".into(),
-        machine_type: "small".into(),
-        zone: "a".into(),
-        spot: false,
-        tasks: vec![TaskRecord {
-            job: "req-1".into(),
-            index: 0,
-            attempt: 77,
-            session: 1,
-            saved_s: 0,
-            placed: 0,
-        }],
-        images: vec![],
-    };
+    let record = left_record();
     c.inherit("sa", &record, 7, &specs, 100.0, 0.0);
     let running = task("req-1/0", 77, TaskState::Running, None);
     c.on_report(
@@ -691,3 +682,56 @@
         assert_eq!(slow("l2b"), turn == 1, "three times as slow as the other");
     }
 }
+
+#[test]
+fn a_notice_stops_what_can_save_and_leaves_what_will_end() {
+    let mut c = cluster(&["l1a"], 100.0);
+    let mut never = spec(2, 1, 1.0);
+    never.checkpoint_every_s = 0.0;
+    let mut short = spec(3, 1, 1.0);
+    short.expected_s = 6.0;
+    for s in [spec(1, 1, 1.0), never, short] {
+        c.add_job(s, 1, 90.0, &RangeSet::default());
+    }
+    round(&mut c, 100.0);
+    let tasks: Vec<TaskReport> = start_of(&c, "l1a", 100.0)
+        .into_iter()
+        .map(|(name, attempt)| task(&name, attempt, TaskState::Running, None))
+        .collect();
+    assert_eq!(tasks.len(), 3);
+    let mut told = report("l1a", 1, 5, TERM, tasks);
+    c.on_report(101.0, &told, Source::CheckIn);
+    told.seq += 1;
+    told.notice_s = Some(20.0);
+    c.on_report(103.0, &told, Source::CheckIn);
+    c.tick(103.0);
+    let commands = c.commands("l1a", 103.0);
+    assert!(
+        matches!(&commands[..], [Command::Stop { task, grace_s, .. }] if task == "req-1/0" && *grace_s >= 2.0),
+        "{commands:?}"
+    );
+    // Nothing new goes there, and other room is asked for.
+    c.add_job(spec(4, 1, 1.0), 1, 103.0, &RangeSet::default());
+    assert!(round(&mut c, 103.0).is_empty());
+    assert!(!c.rentals(103.0).is_empty());
+}
+
+#[test]
+fn a_kind_of_machine_that_was_refused_is_left_for_another() {
+    let mut c = cluster(&[], 100.0);
+    c.add_job(spec(1, 4, 1.0), 1, 90.0, &RangeSet::default());
+    let mut seen = Vec::new();
+    for _ in 0..8 {
+        let Some(rental) = c.rentals(100.0).into_iter().next() else {
+            break;
+        };
+        assert!(!seen.contains(&rental.kind), "{:?} again", rental.kind);
+        c.refused(&rental.kind, 100.0);
+        seen.push(rental.kind);
+    }
+    // Two types, two zones, spot or not; the cheapest first.
+    assert_eq!(seen.len(), 8);
+    assert!(seen[0].2 && seen[0].0 == "small");
+    assert!(c.rentals(100.0).is_empty());
+    assert!(!c.rentals(200.0).is_empty(), "asked again later");
+}
