One deadline, one announcement, one memory of complaints; dead state removed

Read over the whole change: worth and slack worked out a job's due time twice; the list's lag was subtracted twice; two announcements and two stores of logged causes were alike; the peak use, record versions of gone workers and two accessors were never read; packing had an unused argument. Tests share their set-up and keep their assertions. Behaviour is as before.

--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -112,10 +112,8 @@
     next_attempt: u64,
     chunk: u32,
     pub(crate) blocked: HashMap<(String, String, bool), (f64, u32)>,
-    pub(crate) usage_peak: f64,
-    pub(crate) peak_at: f64,
-    /// Records of workers that are gone, to be removed: name and version.
-    pub orphans: BTreeMap<String, u64>,
+    /// Workers that are gone and whose records are to be removed.
+    pub orphans: BTreeSet<String>,
     /// Chunks of finished tasks whose job is over, to be removed.
     pub garbage: Vec<(String, u32)>,
     /// What happened and an operator may want to know, for the log: whether it
@@ -149,9 +147,7 @@
             next_attempt,
             chunk: chunk.max(1),
             blocked: HashMap::new(),
-            usage_peak: 0.0,
-            peak_at: now,
-            orphans: BTreeMap::new(),
+            orphans: BTreeSet::new(),
             garbage: Vec::new(),
             events: Vec::new(),
             changed: true,
@@ -178,12 +174,6 @@
         self.changed = true;
     }
 
-    /// A machine type.
-    #[must_use]
-    pub fn machine_type(&self, name: &str) -> Option<&MachineType> {
-        self.types.get(name)
-    }
-
     /// Adds an open job with the tasks known to be done.
     pub fn add_job(&mut self, spec: JobSpec, version: u64, accepted_at: f64, done: &RangeSet) {
         if self.jobs.contains_key(&spec.id) {
@@ -357,8 +347,9 @@
     /// is gone: once listed it would stay listed until then. Returns the names
     /// of those that went.
     pub fn on_list(&mut self, machines: &[Machine], asked_at: f64, now: f64) -> Vec<String> {
-        let old = asked_at - 2.0 * self.cfg.list_lag_s - self.cfg.margin_s();
-        self.departed.retain(|_, at| *at > old);
+        // The list shows all that was known by then, and nothing gone by then.
+        let sure = asked_at - 2.0 * self.cfg.list_lag_s - self.cfg.margin_s();
+        self.departed.retain(|_, at| *at > sure);
         let mut listed = BTreeSet::new();
         for m in machines {
             listed.insert(m.name.as_str());
@@ -372,12 +363,10 @@
             worker.rented_at = worker.rented_at.min(now - m.age_s);
             if m.state == MachineState::Failed && worker.leaving.is_none() {
                 worker.leaving = Some((LeaveReason::Failed, now));
-                let dead = worker.session;
-                worker.dead_session = worker.dead_session.max(dead);
+                worker.dead_session = worker.dead_session.max(worker.session);
                 self.end_session(&m.name, u64::MAX, now);
             }
         }
-        let sure = asked_at - 2.0 * self.cfg.list_lag_s - self.cfg.margin_s();
         let gone: Vec<String> = self
             .workers
             .values()
@@ -397,7 +386,7 @@
         if let Some(worker) = self.workers.remove(name)
             && (worker.record_version > 0 || worker.record_unsure)
         {
-            self.orphans.insert(worker.name, worker.record_version);
+            self.orphans.insert(worker.name);
         }
     }
 
@@ -678,17 +667,15 @@
             return;
         }
         if !ended {
+            held.phase = Phase::On(task.state);
             if matches!(task.state, TaskState::Running | TaskState::Saving)
                 && held.running_since.is_none()
             {
                 // After a take-over the start is known from the placement.
                 held.running_since = Some(if held.inherited { held.placed_at } else { now });
-                let (image, gb) = (held.spec.image.clone(), held.spec.image_gb);
-                held.phase = Phase::On(task.state);
-                worker.fetching.remove(&image);
-                worker.use_image(&image, gb, cache);
-            } else {
-                held.phase = Phase::On(task.state);
+                let spec = held.spec.clone();
+                worker.fetching.remove(&spec.image);
+                worker.use_image(&spec.image, spec.image_gb, cache);
             }
             let done = self
                 .jobs
@@ -1214,7 +1201,7 @@
     pub fn written(&mut self, write: &PlacementWrite, revision: u64) {
         let Some(worker) = self.workers.get_mut(&write.worker) else {
             if write.record.is_some() {
-                self.orphans.insert(write.worker.clone(), revision);
+                self.orphans.insert(write.worker.clone());
             }
             return;
         };
@@ -1371,12 +1358,6 @@
         }
         sums
     }
-
-    /// Chunks that a job's finished tasks may be kept in.
-    #[must_use]
-    pub fn chunk_size(&self) -> u32 {
-        self.chunk
-    }
 }
 
 /// Grace that a stop gives: enough to save, or none.
--- a/crates/tallygauge-sched/src/demand.rs
+++ b/crates/tallygauge-sched/src/demand.rs
@@ -19,6 +19,9 @@
 /// Part of a spot machine's price that its sudden end is reckoned to cost.
 const SPOT_RISK: f64 = 0.15;
 
+/// Part of its slack that waiting work may spend on waiting for room.
+const SLACK_USED: f64 = 0.4;
+
 struct Virtual {
     machine_type: String,
     zone: String,
@@ -135,9 +138,10 @@
             let Some((t, zone, spot)) = self.best_kind(job, count, now) else {
                 return;
             };
-            // Tasks that are short against a boot follow one another on the
-            // same room: a machine of its own for each would come too late.
-            let horizon = (t.boot_s * self.cfg.horizon_boots).max(0.4 * self.slack(job, run, now));
+            // Tasks that are short against a boot, or that can wait, follow one
+            // another on the same room.
+            let horizon =
+                (t.boot_s * self.cfg.horizon_boots).max(SLACK_USED * self.slack(job, run, now));
             new_for += (run / horizon).min(1.0);
             if new_for < 1.0
                 && virtuals
@@ -161,13 +165,7 @@
 
     /// Time that a task of the job could still wait and end in time.
     fn slack(&self, job: &Job, run: f64, now: f64) -> f64 {
-        let soft = self.cfg.class_due_s.get(&job.spec.class).copied();
-        let due = match (job.spec.deadline_s, soft) {
-            (Some(a), Some(b)) => a.min(b),
-            (Some(a), None) | (None, Some(a)) => a,
-            (None, None) => return 0.0,
-        };
-        job.accepted_at + due - now - run
+        self.due(job).map_or(0.0, |due| due - now - run)
     }
 
     fn kind_allowed(&self, job: &Job, machine_type: &str, zone: &str, spot: bool) -> bool {
@@ -235,11 +233,6 @@
     /// Marks machines that have had nothing to do for long, and returns the
     /// names of all that can go now: empty, or given up on purpose.
     pub fn returns(&mut self, now: f64) -> Vec<(String, LeaveReason)> {
-        let used: f64 = self.ledgers.iter().map(|l| l.cpus).sum();
-        if used >= self.usage_peak || now - self.peak_at > 120.0 {
-            self.usage_peak = used;
-            self.peak_at = now;
-        }
         let mut out = Vec::new();
         let patience = self.cfg.idle_boots;
         let settle = 2.0 * self.cfg.list_lag_s;
--- a/crates/tallygauge-sched/src/mapping.rs
+++ b/crates/tallygauge-sched/src/mapping.rs
@@ -84,17 +84,21 @@
 }
 
 impl Cluster {
+    /// When a job should be complete: by its deadline and its class's aim.
+    pub(crate) fn due(&self, job: &Job) -> Option<f64> {
+        let soft = self.cfg.class_due_s.get(&job.spec.class).copied();
+        let due = job.spec.deadline_s.into_iter().chain(soft);
+        due.reduce(f64::min).map(|due| job.accepted_at + due)
+    }
+
     /// Worth of a job's tasks that would end at `end`: its priority's step
     /// until the deadline, then a small part of it.
     pub(crate) fn worth(&self, job: &Job, end: f64) -> f64 {
         let full = self.cfg.worth[step(job.spec.priority)];
-        let soft = self.cfg.class_due_s.get(&job.spec.class).copied();
-        let due = match (job.spec.deadline_s, soft) {
-            (Some(a), Some(b)) => a.min(b),
-            (Some(a), None) | (None, Some(a)) => a,
-            (None, None) => return full,
+        let Some(due) = self.due(job) else {
+            return full;
         };
-        if end > job.accepted_at + due {
+        if end > due {
             full * self.cfg.late_worth
         } else {
             full
@@ -232,7 +236,7 @@
     /// What counts between workers that are about as good, in seconds: small
     /// ones and full ones come first, so that large rooms are kept for large
     /// tasks and machines fall empty.
-    pub(crate) fn packing(&self, size: f64, free: f64, largest: f64, _worker: &Worker) -> f64 {
+    pub(crate) fn packing(&self, size: f64, free: f64, largest: f64) -> f64 {
         self.cfg.floor_s * 0.5 * (size + free) / (2.0 * largest)
     }
 
@@ -260,7 +264,7 @@
                 .types
                 .get(&worker.machine_type)
                 .map_or(largest, |t| t.cpus);
-            let score = time + self.packing(size, room.cpus, largest, worker);
+            let score = time + self.packing(size, room.cpus, largest);
             if best.as_ref().is_none_or(|b| score < b.score) {
                 best = Some(Spot {
                     worker: name.clone(),
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -205,7 +205,7 @@
                 }
                 let time = c.time_on(job, &group, w, now);
                 let size = if w.machine_type == "large" { 16.0 } else { 4.0 };
-                let score = time + c.packing(size, room.cpus, largest, w);
+                let score = time + c.packing(size, room.cpus, largest);
                 if spot.as_ref().is_none_or(|s| score < s.0) {
                     spot = Some((score, c.worth(job, now + time * 0.5) / time, name.clone()));
                 }
--- a/crates/tallygauge-state/src/causes.rs
+++ b/crates/tallygauge-state/src/causes.rs
@@ -2,17 +2,14 @@
 
 use std::{collections::BTreeSet, sync::Mutex};
 
-/// Causes that were logged before.
-#[derive(Default)]
-pub struct Causes(Mutex<BTreeSet<String>>);
+/// Causes that this process has logged.
+static SEEN: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
 
 /// Most causes that are told apart.
 const MOST: usize = 100;
 
-impl Causes {
-    /// Whether this cause was not seen before.
-    pub fn first(&self, cause: &str) -> bool {
-        let mut seen = self.0.lock().expect("causes lock");
-        seen.len() < MOST && seen.insert(cause.to_string())
-    }
+/// Whether this cause was not seen before.
+pub fn first_time(cause: &str) -> bool {
+    let mut seen = SEEN.lock().expect("causes lock");
+    seen.len() < MOST && seen.insert(cause.to_string())
 }
--- a/crates/tallygauge-state/src/lib.rs
+++ b/crates/tallygauge-state/src/lib.rs
@@ -10,15 +10,12 @@
 pub mod http;
 
 pub use budget::{Budget, Class};
-pub use causes::Causes;
+pub use causes::first_time;
 
 use http::{Http, NoAnswer};
 use hyper::{Method, StatusCode};
 use serde::{Serialize, de::DeserializeOwned};
-use std::{
-    sync::{Arc, LazyLock},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 use tallygauge_wire::state::{
     Changes, Conflict, Lease, LeaseRequest, Page, Revision, Row, Transaction,
 };
@@ -283,12 +280,9 @@
     }
 }
 
-/// What was complained of, by this process.
-static COMPLAINTS: LazyLock<Causes> = LazyLock::new(Causes::default);
-
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
     serde_json::from_slice(body).map_err(|error| {
-        if COMPLAINTS.first(&error.to_string()) {
+        if first_time(&format!("state service: {error}")) {
             tracing::warn!(%error, "malformed answer from the state service, taken as none");
         }
         Error::Unknown
--- a/crates/tallygauge/src/cloud.rs
+++ b/crates/tallygauge/src/cloud.rs
@@ -4,7 +4,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tallygauge_sched::LeaveReason;
-use tallygauge_state::http::NoAnswer;
+use tallygauge_state::{first_time, http::NoAnswer};
 use tallygauge_wire::cloud::{
     Catalogue, MACHINE_PAGE, MAX_RETURN, MachinePage, MachineType, Machines, RentRequest,
 };
@@ -29,7 +29,7 @@
     let timeout = Duration::from_secs(4);
     match node.http.call(method, &url, body, timeout).await {
         Ok((StatusCode::OK, bytes)) => serde_json::from_slice(&bytes).map_err(|error| {
-            if node.complaints.first(&format!("cloud: {error}")) {
+            if first_time(&format!("cloud: {error}")) {
                 tracing::warn!(%error, path, "malformed answer from the cloud, taken as none");
             }
             Trouble::Unknown
--- a/crates/tallygauge/src/control.rs
+++ b/crates/tallygauge/src/control.rs
@@ -237,7 +237,7 @@
 async fn clean(node: &Node, term_guard: &Guard) {
     let most = node.settings.deployment.state.txn_ops.min(8);
     let Some((workers, chunks)) = node.with_cluster(|c| {
-        let workers: Vec<String> = c.orphans.keys().take(most).cloned().collect();
+        let workers: Vec<String> = c.orphans.iter().take(most).cloned().collect();
         let left = most - workers.len();
         (
             workers,
@@ -259,7 +259,7 @@
     };
     if let Ok(Outcome::Made(_)) = node.state.transact(Class::Progress, &txn).await {
         node.with_cluster(|c| {
-            c.orphans.retain(|name, _| !workers.contains(name));
+            c.orphans.retain(|name| !workers.contains(name));
             c.garbage.retain(|chunk| !chunks.contains(chunk));
         });
     }
--- a/crates/tallygauge/src/node.rs
+++ b/crates/tallygauge/src/node.rs
@@ -7,7 +7,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 use tallygauge_sched::{Cluster, Config};
-use tallygauge_state::{Budget, Causes, Client, http::Http};
+use tallygauge_state::{Budget, Client, http::Http};
 use tallygauge_wire::{cloud::MachineType, state::Guard, users::JobStatus};
 use tokio::{
     sync::{Notify, mpsc, oneshot},
@@ -179,8 +179,6 @@
     pub called_at: Mutex<f64>,
     /// Does not stand for the lead before this time.
     pub abstains_until: Mutex<f64>,
-    /// Malformed input that was logged already.
-    pub complaints: Causes,
     /// The state service has been reached.
     pub reached: Mutex<bool>,
 }
@@ -226,7 +224,6 @@
             role_changed: Notify::new(),
             called_at: Mutex::new(f64::NEG_INFINITY),
             abstains_until: Mutex::new(f64::NEG_INFINITY),
-            complaints: Causes::default(),
             reached: Mutex::new(false),
         };
         (Arc::new(node), questions)
--- a/crates/tallygauge/src/peers.rs
+++ b/crates/tallygauge/src/peers.rs
@@ -87,16 +87,17 @@
         let _ = tokio::time::timeout(Duration::from_secs(1), node.role_changed.notified()).await;
         let role = node.lock(&node.role).clone();
         let mine = role.leader.as_deref() == Some(node.settings.node_name.as_str());
+        let announcement = Announcement {
+            term: role.term,
+            leader: role.leader.clone().unwrap_or_default(),
+            workers_call: false,
+        };
         if mine && role.term > told {
             told = role.term;
             for (_, client) in &clients {
                 let mut client = client.clone();
                 let node = node.clone();
-                let announcement = Announcement {
-                    term: role.term,
-                    leader: role.leader.clone().unwrap_or_default(),
-                    workers_call: false,
-                };
+                let announcement = announcement.clone();
                 tokio::spawn(async move {
                     if let Ok(answer) = client.announce(announcement).await {
                         let answer = answer.into_inner();
@@ -108,12 +109,7 @@
         }
         if mine && workers::none_call(&node) {
             for (_, client) in &clients {
-                let hello = Announcement {
-                    term: role.term,
-                    leader: node.settings.node_name.clone(),
-                    workers_call: false,
-                };
-                let answer = client.clone().announce(hello).await;
+                let answer = client.clone().announce(announcement.clone()).await;
                 if answer.is_ok_and(|a| a.into_inner().workers_call) {
                     leader::give_way(&node);
                     break;
--- a/crates/tallygauge/src/workers.rs
+++ b/crates/tallygauge/src/workers.rs
@@ -3,7 +3,7 @@
 use crate::node::Node;
 use std::{sync::Arc, time::Duration};
 use tallygauge_sched::{DirectMessage, Source, Verdict};
-use tallygauge_state::http::NoAnswer;
+use tallygauge_state::{first_time, http::NoAnswer};
 use tallygauge_wire::workers::{DirectCommands, Redirect, Report, ReportAnswer};
 
 /// An answer to a check-in.
@@ -46,7 +46,7 @@
     let report: Report = match serde_json::from_slice(body) {
         Ok(report) => report,
         Err(error) => {
-            if node.complaints.first(&format!("check-in: {error}")) {
+            if first_time(&format!("check-in: {error}")) {
                 tracing::warn!(%error, "malformed check-in");
             }
             return CheckIn::Malformed(error.to_string());
--- a/crates/tallygauge/tests/failures.rs
+++ b/crates/tallygauge/tests/failures.rs
@@ -14,6 +14,7 @@
     state::{Transaction, Write},
     users::JobStatus,
 };
+use tokio::task::JoinHandle;
 use world::{LEASE_S, World, until};
 
 fn status_of(reply: &Reply) -> Option<JobStatus> {
@@ -35,6 +36,20 @@
     assert!(kept, "not accepted");
 }
 
+/// A world in play, led by its first node.
+async fn led() -> (Arc<World>, Arc<Node>, JoinHandle<()>) {
+    let world = World::new();
+    tokio::spawn(world.clone().play());
+    let (a, task) = world.node("n-a");
+    assert!(until(30.0, async || leads(&a)).await);
+    (world, a, task)
+}
+
+/// Starts so far.
+fn started(world: &World) -> usize {
+    world.inner.lock().unwrap().starts.len()
+}
+
 fn leads(node: &Node) -> bool {
     node.lock(&node.lead)
         .as_ref()
@@ -75,21 +90,10 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_take_over_does_not_start_the_task_of_a_silent_worker_again_too_soon() {
-    let world = World::new();
-    tokio::spawn(world.clone().play());
-    let (a, task) = world.node("n-a");
-    assert!(until(30.0, async || leads(&a)).await);
+    let (world, a, task) = led().await;
     let (id, body) = world.job(1, 1, 8.0, 200.0);
     accepted(&a, &body).await;
-    assert!(
-        until(60.0, async || !world
-            .inner
-            .lock()
-            .unwrap()
-            .starts
-            .is_empty())
-        .await
-    );
+    assert!(until(60.0, async || started(&world) > 0).await);
     tokio::time::sleep(Duration::from_secs(2)).await;
     let worker = world.inner.lock().unwrap().starts[0].2.clone();
     // Leader and worker go at once; the worker's task runs on for its lease.
@@ -115,13 +119,10 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_deposed_leader_can_neither_write_nor_command() {
-    let world = World::new();
-    tokio::spawn(world.clone().play());
-    let (a, _ta) = world.node("n-a");
-    assert!(until(30.0, async || leads(&a)).await);
+    let (world, a, _ta) = led().await;
     let (_, body) = world.job(1, 2, 8.0, 60.0);
     accepted(&a, &body).await;
-    assert!(until(60.0, async || world.inner.lock().unwrap().starts.len() == 2).await);
+    assert!(until(60.0, async || started(&world) == 2).await);
     let old = a.lock(&a.lead).as_ref().unwrap().guard.clone();
     // Refused by the state service alone.
     world.inner.lock().unwrap().cut.insert("n-a".into());
@@ -147,14 +148,11 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_leader_that_workers_cannot_reach_gives_way_before_their_leases_end() {
-    let world = World::new();
-    tokio::spawn(world.clone().play());
-    let (a, _ta) = world.node("n-a");
-    assert!(until(30.0, async || leads(&a)).await);
+    let (world, a, _ta) = led().await;
     let (b, _tb) = world.node("n-b");
     let (_, body) = world.job(1, 2, 8.0, 60.0);
     accepted(&a, &body).await;
-    assert!(until(60.0, async || world.inner.lock().unwrap().starts.len() == 2).await);
+    assert!(until(60.0, async || started(&world) == 2).await);
     assert!(!none_call(&a));
     // Its workers are cut off from it; the state service is not.
     world.forget_node("n-a");
@@ -174,21 +172,10 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_leader_without_a_confirmed_term_stops_answering_workers() {
-    let world = World::new();
-    tokio::spawn(world.clone().play());
-    let (a, _ta) = world.node("n-a");
-    assert!(until(30.0, async || leads(&a)).await);
+    let (world, a, _ta) = led().await;
     let (_, body) = world.job(1, 1, 8.0, 500.0);
     accepted(&a, &body).await;
-    assert!(
-        until(60.0, async || !world
-            .inner
-            .lock()
-            .unwrap()
-            .starts
-            .is_empty())
-        .await
-    );
+    assert!(until(60.0, async || started(&world) > 0).await);
     world.inner.lock().unwrap().cut.insert("n-a".into());
     let cut_at = a.now();
     let report = br#"{"bench":"x","endpoint":"x","build":"c8","site":"a","borrowed":false,"shift":1,"tick":9,"baton":0,"pieces":[]}"#;
@@ -209,15 +196,7 @@
         let (b, _tb) = world.node("n-b");
         let (id, body) = world.job(1, 1, 1.0, 5.0);
         accepted(&a, &body).await;
-        assert!(
-            until(60.0, async || !world
-                .inner
-                .lock()
-                .unwrap()
-                .starts
-                .is_empty())
-            .await
-        );
+        assert!(until(60.0, async || started(&world) > 0).await);
         tokio::time::sleep(Duration::from_millis(4700 + u64::from(offset) * 120)).await;
         let mut told = None;
         assert!(
@@ -245,7 +224,7 @@
     let (b, _tb) = world.node("n-b");
     let (id, body) = world.job(1, 8, 4.0, 30.0);
     accepted(&a, &body).await;
-    assert!(until(60.0, async || world.inner.lock().unwrap().starts.len() == 4).await);
+    assert!(until(60.0, async || started(&world) == 4).await);
     assert_eq!(
         status_of(&users::cancel(&b, &id).await),
         Some(JobStatus::Cancelled)
@@ -267,15 +246,11 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_leader_that_has_not_heard_of_a_cancellation_starts_nothing_of_the_job() {
-    let world = World::new();
-    tokio::spawn(world.clone().play());
-    let (a, _ta) = world.node("n-a");
-    assert!(until(30.0, async || leads(&a)).await);
+    let (world, a, _ta) = led().await;
     let (b, _tb) = world.node("n-b");
     let (id, body) = world.job(1, 8, 4.0, 3.0);
     accepted(&b, &body).await;
-    let started = async || world.inner.lock().unwrap().starts.len();
-    assert!(until(60.0, async || started().await == 4).await);
+    assert!(until(60.0, async || started(&world) == 4).await);
     world.inner.lock().unwrap().hold_watches = true;
     tokio::time::sleep(Duration::from_secs(1)).await;
     assert_eq!(
@@ -287,7 +262,7 @@
     tokio::time::sleep(Duration::from_secs(6)).await;
     let done = a.with_cluster(|c| c.counts(&id)).flatten();
     assert_eq!(
-        (started().await, done),
+        (started(&world), done),
         (4, None),
         "it learned from the refusal"
     );
@@ -301,8 +276,7 @@
     let (a, _ta) = world.node("n-a");
     let (id, body) = world.job(1, 8, 4.0, 6.0);
     accepted(&a, &body).await;
-    let started = async || !world.inner.lock().unwrap().starts.is_empty();
-    assert!(until(60.0, async || started().await).await);
+    assert!(until(60.0, async || started(&world) > 0).await);
     // From here on every transaction is made, and none is answered well.
     world.inner.lock().unwrap().garbled = true;
     let (other, next) = world.job(2, 1, 1.0, 1.0);
