A leader whose attempt numbers are used up gives its term up

The check stood in the picture, and nothing asked it. Attempts of a term end where those of the next begin; a round that would cross that line is dropped before anything of it is written. Test: attempts_that_would_run_into_the_next_term_end_this_one.

--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -109,7 +109,7 @@
     pub workers: BTreeMap<String, Worker>,
     pub(crate) ledgers: Vec<Ledger>,
     paces: HashMap<String, Pace>,
-    next_attempt: u64,
+    pub(crate) next_attempt: u64,
     chunk: u32,
     pub(crate) blocked: HashMap<(String, String, bool), (f64, u32)>,
     /// Workers that are gone and whose records are to be removed.
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -735,3 +735,23 @@
     assert!(c.rentals(100.0).is_empty());
     assert!(!c.rentals(200.0).is_empty(), "asked again later");
 }
+
+#[test]
+fn attempts_that_would_run_into_the_next_term_end_this_one() {
+    let mut c = cluster(&["sa"], 100.0);
+    c.add_job(spec(1, 2, 1.0), 1, 90.0, &RangeSet::default());
+    let mut next = config();
+    next.term += 1;
+    let first_of_next = Cluster::new(next, 100.0, 16).next_attempt;
+    c.next_attempt = first_of_next - 4;
+    c.plan(100.0, true);
+    assert!(!c.out_of_attempts());
+    assert!(
+        c.workers["sa"]
+            .held
+            .iter()
+            .all(|h| h.attempt < first_of_next)
+    );
+    c.attempt();
+    assert!(c.out_of_attempts());
+}
--- a/crates/tallygauge/src/control.rs
+++ b/crates/tallygauge/src/control.rs
@@ -52,6 +52,11 @@
             tokio::time::sleep(gap).await;
             continue;
         };
+        // Nothing of this round is written yet: no number is used twice.
+        if node.with_cluster(|c| c.out_of_attempts()) == Some(true) {
+            node.step_down("the term's attempts are used up");
+            return;
+        }
         for (weighs, text) in node
             .with_cluster(|c| std::mem::take(&mut c.events))
             .unwrap_or_default()
