--- /dev/null
+++ b/crates/tallygauge-sched/src/model.rs
@@ -0,0 +1,515 @@
+//! The parts of the cluster picture.
+
+use crate::ranges::RangeSet;
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
+use tallygauge_wire::{
+    cloud::MachineType,
+    users::{JobSpec, Priority, Shape},
+    workers::{EndCause, TaskState},
+};
+
+/// A team's guarantee and limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TeamConfig {
+    /// Name.
+    pub name: String,
+    /// Guaranteed CPUs.
+    pub cpus: f64,
+    /// Most CPUs.
+    pub cpus_max: f64,
+    /// Guaranteed GPUs.
+    pub gpus: f64,
+    /// Most GPUs.
+    pub gpus_max: f64,
+}
+
+/// What the picture and the mapping are governed by.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Teams.
+    pub teams: Vec<TeamConfig>,
+    /// Time between a worker's reports.
+    pub report_s: f64,
+    /// A worker's lease.
+    pub lease_s: f64,
+    /// Time a cancelled job's tasks have to be gone.
+    pub cancel_s: f64,
+    /// How long a leader that can't confirm its term goes on answering workers.
+    pub fence_s: f64,
+    /// Nominal lag of the machine list.
+    pub list_lag_s: f64,
+    /// Most that two steady clocks drift apart, as a ratio.
+    pub drift: f64,
+    /// Least remaining time that UPT is worked out with.
+    pub floor_s: f64,
+    /// Worth of each priority, lowest first.
+    pub worth: [f64; 4],
+    /// Part of its worth that a job keeps after its deadline.
+    pub late_worth: f64,
+    /// Idle time before a machine is returned, in boot times of its type.
+    pub idle_boots: f64,
+    /// Boot times that waiting work is spread over when machines are asked for.
+    pub horizon_boots: f64,
+    /// Time within which jobs of a class should be finished.
+    pub class_due_s: HashMap<String, f64>,
+    /// Most tasks on one machine, so that its record fits the state service.
+    pub tasks_per_worker: usize,
+    /// The leader's term.
+    pub term: u64,
+}
+
+impl Config {
+    /// An allowance for the jitter of timers and messages.
+    #[must_use]
+    pub fn margin_s(&self) -> f64 {
+        self.report_s * 0.2
+    }
+
+    /// `seconds` of another machine's clock, at most, on ours.
+    #[must_use]
+    pub fn stretched(&self, seconds: f64) -> f64 {
+        seconds * (1.0 + 2.0 * self.drift) + self.margin_s()
+    }
+
+    /// The team's place in the configuration.
+    #[must_use]
+    pub fn team(&self, name: &str) -> Option<usize> {
+        self.teams.iter().position(|t| t.name == name)
+    }
+}
+
+/// Why a job can never run.
+///
+/// # Errors
+/// A sentence for the user.
+pub fn check_feasible(
+    spec: &JobSpec,
+    teams: &[TeamConfig],
+    types: &[MachineType],
+) -> Result<(), String> {
+    let Some(team) = teams.iter().find(|t| t.name == spec.team) else {
+        return Err(format!("no team is called '{}'", spec.team));
+    };
+    let count = if spec.shape == Shape::Service {
+        f64::from(spec.tasks)
+    } else {
+        1.0
+    };
+    if spec.cpus * count > team.cpus_max + EPS || spec.gpus * count > team.gpus_max + EPS {
+        return Err(format!("needs more than the limit of team '{}'", spec.team));
+    }
+    let mut zones: BTreeSet<&str> = BTreeSet::new();
+    for t in types {
+        let named = spec
+            .types
+            .as_ref()
+            .is_none_or(|names| names.contains(&t.name));
+        if named && fits(spec, t.cpus, t.gpus, t.memory_gb) {
+            zones.extend(t.zones.iter().map(String::as_str));
+        }
+    }
+    if let Some(zone) = &spec.zone {
+        zones.retain(|z| z == zone);
+    }
+    if zones.is_empty() {
+        return Err("a task fits no allowed machine type and zone".into());
+    }
+    if spec.spread && spec.tasks > 1 && spec.one_zone && spec.shape == Shape::Service {
+        return Err("all tasks in one zone and at most half of them there can't both be".into());
+    }
+    if spec.spread && spec.tasks > 1 && zones.len() < 2 && spec.shape == Shape::Service {
+        return Err("spread over zones, but only one zone is allowed".into());
+    }
+    Ok(())
+}
+
+/// Slack for sums of decimal amounts.
+pub(crate) const EPS: f64 = 1e-6;
+
+pub(crate) fn fits(spec: &JobSpec, cpus: f64, gpus: f64, memory_gb: f64) -> bool {
+    spec.cpus <= cpus + EPS && spec.gpus <= gpus + EPS && spec.memory_gb <= memory_gb + EPS
+}
+
+/// An amount of a machine.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Room {
+    /// CPUs.
+    pub cpus: f64,
+    /// GPUs.
+    pub gpus: f64,
+    /// Memory, GB.
+    pub memory_gb: f64,
+}
+
+impl Room {
+    /// All of a machine type.
+    #[must_use]
+    pub fn of_type(t: &MachineType) -> Self {
+        Self {
+            cpus: t.cpus,
+            gpus: t.gpus,
+            memory_gb: t.memory_gb,
+        }
+    }
+
+    pub(crate) fn holds(&self, spec: &JobSpec) -> bool {
+        fits(spec, self.cpus, self.gpus, self.memory_gb)
+    }
+
+    pub(crate) fn add(&mut self, spec: &JobSpec, sign: f64) {
+        self.cpus += sign * spec.cpus;
+        self.gpus += sign * spec.gpus;
+        self.memory_gb += sign * spec.memory_gb;
+    }
+}
+
+/// Where an attempt stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Mapped in this round, not durable yet.
+    Planned,
+    /// Durable; its start goes out, or went out, and was not seen yet.
+    Recorded,
+    /// Seen on the machine.
+    On(TaskState),
+    /// Over; kept until the worker has forgotten it.
+    Ended(EndCause),
+}
+
+/// Why a task is stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopReason {
+    /// Its job was cancelled or is over.
+    Cancelled,
+    /// To make room.
+    Preempted,
+    /// Its machine is about to go.
+    Notice,
+    /// Its machine is given up.
+    Drained,
+    /// Another attempt of the task counts.
+    Duplicate,
+}
+
+/// A stop that was decided on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Stop {
+    /// Why.
+    pub reason: StopReason,
+    /// When.
+    pub at: f64,
+}
+
+/// An attempt of a task on a worker, from plan to forgotten.
+#[derive(Debug, Clone)]
+pub struct Held {
+    /// Its job.
+    pub spec: Arc<JobSpec>,
+    /// Number of the task.
+    pub index: u32,
+    /// Attempt.
+    pub attempt: u64,
+    /// Session of the worker it was placed in.
+    pub session: u64,
+    /// Where it stands.
+    pub phase: Phase,
+    /// When it was placed.
+    pub placed_at: f64,
+    /// When it was first known to run.
+    pub running_since: Option<f64>,
+    /// Progress it began with.
+    pub saved_s: f64,
+    /// Stop decided on.
+    pub stop: Option<Stop>,
+    /// Recorded by an earlier leader.
+    pub inherited: bool,
+    /// Its start went out in some way.
+    pub sent: bool,
+    /// Direct messages with its start that wait for an answer.
+    pub direct_pending: u32,
+    /// A direct message with its start was never answered and may yet arrive:
+    /// in this session the attempt must stay known to the worker.
+    pub uncertain: bool,
+    /// What its end means is durable.
+    pub end_durable: bool,
+}
+
+impl Held {
+    /// Whether it counts as being on the machine.
+    #[must_use]
+    pub fn occupies(&self) -> bool {
+        !matches!(self.phase, Phase::Ended(_))
+    }
+
+    /// Whether the worker may be told to forget it.
+    #[must_use]
+    pub fn may_clear(&self) -> bool {
+        matches!(self.phase, Phase::Ended(_))
+            && self.end_durable
+            && self.direct_pending == 0
+            && !self.uncertain
+    }
+
+    /// `req-000412/3`.
+    #[must_use]
+    pub fn task_name(&self) -> String {
+        format!("{}/{}", self.spec.id, self.index)
+    }
+
+    /// Run time in this attempt so far.
+    #[must_use]
+    pub fn ran_s(&self, now: f64) -> f64 {
+        self.running_since.map_or(0.0, |t| (now - t).max(0.0))
+    }
+}
+
+/// A task that waits with something of its own: progress, or a reason to wait.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Resume {
+    /// Number of the task.
+    pub index: u32,
+    /// Saved progress.
+    pub saved_s: f64,
+    /// Machine type that the progress is for.
+    pub machine_type: Option<String>,
+    /// Not before this time.
+    pub not_before: f64,
+    /// A machine it failed on.
+    pub avoid: Option<String>,
+}
+
+/// An open job.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// As submitted.
+    pub spec: Arc<JobSpec>,
+    /// Version of its record: every placement is conditioned on it.
+    pub version: u64,
+    /// When it was accepted.
+    pub accepted_at: f64,
+    /// Its team's place in the configuration.
+    pub team: usize,
+    /// Tasks that are done.
+    pub finished: RangeSet,
+    /// Chunks of `finished` that are not durable yet.
+    pub dirty: BTreeSet<u32>,
+    /// Chunks of `finished` that have a durable record.
+    pub kept_chunks: BTreeSet<u32>,
+    /// Tasks that wait and have nothing of their own.
+    pub waiting: RangeSet,
+    /// Tasks that wait and have.
+    pub resumes: Vec<Resume>,
+    /// How many attempts occupy a machine, by task.
+    pub holds: BTreeMap<u32, u32>,
+    /// How many attempts occupy a machine, by zone.
+    pub zones: BTreeMap<String, u32>,
+    /// Failures since the last success.
+    pub errors: u32,
+}
+
+impl Job {
+    /// Whether all its tasks are done.
+    #[must_use]
+    pub fn complete(&self) -> bool {
+        self.spec.shape == Shape::Array && self.finished.len() == self.spec.tasks
+    }
+
+    /// Tasks that are not done.
+    #[must_use]
+    pub fn unfinished(&self) -> u32 {
+        self.spec.tasks - self.finished.len()
+    }
+
+    /// Whether another task may start in a zone, given the job's other tasks.
+    #[must_use]
+    pub fn zone_allowed(&self, zone: &str) -> bool {
+        if self.spec.zone.as_ref().is_some_and(|z| z != zone) {
+            return false;
+        }
+        if self.spec.one_zone && self.zones.keys().any(|z| z != zone) {
+            return false;
+        }
+        if self.spec.spread {
+            let there = self.zones.get(zone).copied().unwrap_or(0);
+            if there + 1 > self.spec.tasks.div_ceil(2) {
+                return false;
+            }
+        }
+        true
+    }
+}
+
+/// Why a machine is to be returned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaveReason {
+    /// Nothing to do for it.
+    Idle,
+    /// It did not come up.
+    NoBoot,
+    /// It stopped by itself.
+    Failed,
+    /// Tasks fail on it.
+    Faulty,
+    /// It runs its tasks slowly.
+    Slow,
+    /// It can't confirm that cancelled work has stopped.
+    Unconfirmed,
+    /// Nothing was heard of it for long.
+    Silent,
+}
+
+/// A machine, and the worker on it.
+#[derive(Debug, Clone)]
+pub struct Worker {
+    /// Name.
+    pub name: String,
+    /// Where it takes direct commands; empty until known.
+    pub endpoint: String,
+    /// Machine type.
+    pub machine_type: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot machine.
+    pub spot: bool,
+    /// When its rental was asked for, as far as known.
+    pub rented_at: f64,
+    /// Since when it is known to exist.
+    pub known_at: f64,
+    /// Session of the newest report; 0 before the first.
+    pub session: u64,
+    /// Sequence number of the newest report.
+    pub seq: u64,
+    /// When the session was first heard of.
+    pub session_at: f64,
+    /// Sessions up to this one are surely over.
+    pub dead_session: u64,
+    /// When a report first showed our token.
+    pub fenced_at: Option<f64>,
+    /// When a report was last answered.
+    pub answered_at: f64,
+    /// When anything was last heard.
+    pub heard_at: f64,
+    /// When the cloud takes it.
+    pub notice_until: Option<f64>,
+    /// Attempts on it.
+    pub held: Vec<Held>,
+    /// Attempts on it that nobody placed: stopped and cleared.
+    pub strays: Vec<(String, u64, bool)>,
+    /// Free room.
+    pub free: Room,
+    /// Images it should hold, least recently used first.
+    pub images: Vec<(String, f64)>,
+    /// To be returned, and since when.
+    pub leaving: Option<(LeaveReason, f64)>,
+    /// The return was sent; the machine may go at any time.
+    pub return_sent: bool,
+    /// A direct message waits for an answer.
+    pub direct_busy: bool,
+    /// Direct messages that went unanswered in a row.
+    pub direct_failures: u32,
+    /// No direct message before this time.
+    pub direct_after: f64,
+    /// Since when it has nothing on it.
+    pub idle_since: f64,
+    /// Jobs that failed on it since the last success.
+    pub error_jobs: BTreeSet<String>,
+    /// Sum of measured over expected run times, and their number.
+    pub pace: (f64, u32),
+    /// Version of its record.
+    pub record_version: u64,
+    /// Its record may have changed behind an unanswered write.
+    pub record_unsure: bool,
+    /// Attempts in its record.
+    pub recorded: BTreeSet<u64>,
+}
+
+impl Worker {
+    /// Whether tasks may be placed on it.
+    #[must_use]
+    pub fn usable(&self, now: f64, cfg: &Config) -> bool {
+        self.session > self.dead_session
+            && self.fenced_at.is_some()
+            && self.leaving.is_none()
+            && self.notice_until.is_none()
+            && !self.record_unsure
+            && now - self.heard_at < cfg.report_s * 2.5
+    }
+
+    /// Whether it has reported to this leader.
+    #[must_use]
+    pub fn up(&self) -> bool {
+        self.session > 0
+    }
+
+    /// Marks an image as used now, dropping the least used above the cache.
+    pub(crate) fn use_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
+        self.images.retain(|i| i.0 != image);
+        self.images.push((image.to_string(), gb));
+        let mut total: f64 = self.images.iter().map(|i| i.1).sum();
+        while total > cache_gb && self.images.len() > 1 {
+            total -= self.images.remove(0).1;
+        }
+    }
+
+    pub(crate) fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|i| i.0 == image)
+    }
+}
+
+/// A worker's durable record: what was placed on it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WorkerRecord {
+    /// Where it takes direct commands.
+    pub endpoint: String,
+    /// Machine type.
+    pub machine_type: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot machine.
+    pub spot: bool,
+    /// Attempts.
+    pub tasks: Vec<TaskRecord>,
+    /// Images it should hold.
+    pub images: Vec<(String, f64)>,
+}
+
+/// A durable placement.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TaskRecord {
+    /// Job id.
+    #[serde(rename = "j")]
+    pub job: String,
+    /// Number of the task.
+    #[serde(rename = "i")]
+    pub index: u32,
+    /// Attempt.
+    #[serde(rename = "a")]
+    pub attempt: u64,
+    /// Session.
+    #[serde(rename = "s")]
+    pub session: u64,
+    /// Progress it began with, whole seconds.
+    #[serde(rename = "p")]
+    pub saved_s: u32,
+    /// Time of day of the placement, seconds.
+    #[serde(rename = "t")]
+    pub placed: u64,
+}
+
+/// Bytes that one placement takes in a record, at most, and the rest of it.
+pub const TASK_RECORD_BYTES: usize = 128;
+
+/// Place of a priority in the worth steps.
+#[must_use]
+pub fn step(priority: Priority) -> usize {
+    match priority {
+        Priority::Low => 0,
+        Priority::Normal => 1,
+        Priority::High => 2,
+        Priority::Production => 3,
+    }
+}
--- /dev/null
+++ b/crates/tallygauge-state/src/http.rs
@@ -0,0 +1,131 @@
+//! A small JSON-over-HTTP client with bounded time and size.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, StatusCode, header};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::Serialize;
+use std::{future::Future, pin::Pin, sync::Arc, time::Duration};
+
+/// Why there is no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoAnswer {
+    /// No connection came about, so nothing was sent.
+    NotSent,
+    /// Sent, perhaps in part; the answer did not come in time or whole.
+    Lost,
+}
+
+/// An answer, or why there is none.
+pub type Answer = Result<(StatusCode, Bytes), NoAnswer>;
+
+/// Something that carries requests in place of the network, as tests do.
+pub trait Transport: Send + Sync {
+    /// Carries one request.
+    fn carry(
+        &self,
+        method: Method,
+        url: String,
+        body: Bytes,
+    ) -> Pin<Box<dyn Future<Output = Answer> + Send>>;
+}
+
+#[derive(Clone)]
+enum Carrier {
+    Network(Box<Client<HttpConnector, Full<Bytes>>>),
+    StandIn(Arc<dyn Transport>),
+}
+
+/// The client. Cheap to clone; connections are kept and shared.
+#[derive(Clone)]
+pub struct Http {
+    carrier: Carrier,
+    limit: usize,
+}
+
+impl Http {
+    /// A client that gives a connection attempt up after `connect`, and takes
+    /// answers of at most `limit` bytes.
+    #[must_use]
+    pub fn new(connect: Duration, limit: usize) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(connect));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(Duration::from_secs(60))
+            .pool_max_idle_per_host(4)
+            .pool_timer(TokioTimer::new())
+            .build(connector);
+        Self {
+            carrier: Carrier::Network(Box::new(client)),
+            limit,
+        }
+    }
+
+    /// A client whose requests something else carries.
+    #[must_use]
+    pub fn over(transport: Arc<dyn Transport>) -> Self {
+        Self {
+            carrier: Carrier::StandIn(transport),
+            limit: usize::MAX,
+        }
+    }
+
+    /// Sends one request and reads the whole answer within `timeout`.
+    ///
+    /// # Errors
+    /// When there is no answer, or none that is whole.
+    pub async fn call<B: Serialize>(
+        &self,
+        method: Method,
+        url: &str,
+        body: Option<&B>,
+        timeout: Duration,
+    ) -> Answer {
+        let bytes = match body {
+            Some(body) => Bytes::from(serde_json::to_vec(body).map_err(|_| NoAnswer::NotSent)?),
+            None => Bytes::new(),
+        };
+        let exchange = async {
+            match &self.carrier {
+                Carrier::StandIn(transport) => transport.carry(method, url.into(), bytes).await,
+                Carrier::Network(client) => self.exchange(client, method, url, bytes).await,
+            }
+        };
+        tokio::time::timeout(timeout, exchange)
+            .await
+            .unwrap_or(Err(NoAnswer::Lost))
+    }
+
+    async fn exchange(
+        &self,
+        client: &Client<HttpConnector, Full<Bytes>>,
+        method: Method,
+        url: &str,
+        body: Bytes,
+    ) -> Answer {
+        let mut request = Request::builder().method(method).uri(url);
+        if !body.is_empty() {
+            request = request.header(header::CONTENT_TYPE, "application/json");
+        }
+        let request = request
+            .body(Full::new(body))
+            .map_err(|_| NoAnswer::NotSent)?;
+        let answer = client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                NoAnswer::NotSent
+            } else {
+                NoAnswer::Lost
+            }
+        })?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), self.limit)
+            .collect()
+            .await
+            .map_err(|_| NoAnswer::Lost)?;
+        Ok((status, body.to_bytes()))
+    }
+}
--- /dev/null
+++ b/crates/tallygauge-state/src/lib.rs
@@ -0,0 +1,286 @@
+//! Client of the state service: transactions, watches, and the request budget.
+//!
+//! An answer is one of three: made, refused (surely not executed), or unknown
+//! (no answer: it may have been executed or may yet be, minutes later). Callers
+//! guard every write on the versions it was worked out from, so that a late
+//! transaction fails.
+
+mod budget;
+pub mod http;
+
+pub use budget::{Budget, Class};
+
+use http::{Http, NoAnswer};
+use hyper::{Method, StatusCode};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{sync::Arc, time::Duration};
+use tallygauge_wire::state::{
+    Changes, Conflict, Lease, LeaseRequest, Page, Revision, Row, Transaction,
+};
+
+/// Why a request brought nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Error {
+    /// Surely not executed: over budget, outage, or refused.
+    Refused,
+    /// No usable answer: may have been executed, or may yet be.
+    Unknown,
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Error::Refused => "refused by the state service",
+            Error::Unknown => "no answer from the state service",
+        })
+    }
+}
+
+/// What became of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// Made at this revision.
+    Made(u64),
+    /// Not made: some of these conditions failed.
+    Conflict(Vec<String>),
+    /// Not made: a lease named in it has ended.
+    NoLease,
+}
+
+/// What a watch brought.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Watched {
+    /// Changes, in order.
+    Changes(Changes),
+    /// The service no longer keeps changes that old: list again.
+    TooOld,
+}
+
+/// Client of the state service. Cheap to clone.
+#[derive(Clone)]
+pub struct Client {
+    http: Http,
+    base: Arc<str>,
+    budget: Arc<Budget>,
+    timeout: Duration,
+}
+
+impl Client {
+    /// A client of the service at `addr`; a request is given up after `timeout`.
+    #[must_use]
+    pub fn new(http: Http, addr: &str, budget: Arc<Budget>, timeout: Duration) -> Self {
+        Self {
+            http,
+            base: format!("http://{addr}").into(),
+            budget,
+            timeout,
+        }
+    }
+
+    /// The request budget.
+    #[must_use]
+    pub fn budget(&self) -> &Budget {
+        &self.budget
+    }
+
+    async fn call<B: Serialize>(
+        &self,
+        class: Class,
+        writes: usize,
+        method: Method,
+        path: &str,
+        body: Option<&B>,
+        timeout: Duration,
+    ) -> Result<(StatusCode, bytes::Bytes), Error> {
+        if !self.budget.take(class, writes).await {
+            return Err(Error::Refused);
+        }
+        let url = format!("{}{path}", self.base);
+        match self.http.call(method, &url, body, timeout).await {
+            Ok((StatusCode::TOO_MANY_REQUESTS, _)) => {
+                self.budget.refused();
+                Err(Error::Refused)
+            }
+            Ok((StatusCode::SERVICE_UNAVAILABLE, _)) => Err(Error::Refused),
+            Ok(answer) => Ok(answer),
+            Err(NoAnswer::NotSent) => Err(Error::Refused),
+            Err(NoAnswer::Lost) => Err(Error::Unknown),
+        }
+    }
+
+    /// Reads one key.
+    ///
+    /// # Errors
+    /// When the service gave no usable answer.
+    pub async fn get(&self, class: Class, key: &str) -> Result<Option<Row>, Error> {
+        let path = format!("/store/{key}");
+        let (status, body) = self
+            .call::<()>(class, 0, Method::GET, &path, None, self.timeout)
+            .await?;
+        match status {
+            StatusCode::OK => parse(&body).map(Some),
+            StatusCode::NOT_FOUND => parse::<Revision>(&body).map(|_| None),
+            _ => Err(Error::Unknown),
+        }
+    }
+
+    /// Reads all keys with a prefix, and the revision of the first page.
+    ///
+    /// # Errors
+    /// When the service gave no usable answer.
+    pub async fn list(&self, class: Class, prefix: &str) -> Result<(Vec<Row>, u64), Error> {
+        let mut rows: Vec<Row> = Vec::new();
+        let mut revision = None;
+        loop {
+            let since = rows
+                .last()
+                .map(|r| format!("&since={}", r.key))
+                .unwrap_or_default();
+            let path = format!("/store?starts={prefix}{since}&page=1000");
+            let (status, body) = self
+                .call::<()>(class, 0, Method::GET, &path, None, self.timeout * 2)
+                .await?;
+            if status != StatusCode::OK {
+                return Err(Error::Unknown);
+            }
+            let page: Page = parse(&body)?;
+            let first = *revision.get_or_insert(page.revision);
+            let empty = page.rows.is_empty();
+            rows.extend(page.rows);
+            if !page.more || empty {
+                return Ok((rows, first));
+            }
+        }
+    }
+
+    /// Makes a transaction.
+    ///
+    /// # Errors
+    /// `Refused`: surely not made. `Unknown`: may have been made, or may yet be.
+    pub async fn transact(&self, class: Class, txn: &Transaction) -> Result<Outcome, Error> {
+        let (status, body) = self
+            .call(
+                class,
+                txn.writes.len(),
+                Method::POST,
+                "/multi",
+                Some(txn),
+                self.timeout,
+            )
+            .await?;
+        match status {
+            StatusCode::OK => parse::<Revision>(&body).map(|r| Outcome::Made(r.revision)),
+            StatusCode::CONFLICT => {
+                // A conflict whose keys can't be read is still surely not made.
+                let failed = parse::<Conflict>(&body).map_or_else(|_| Vec::new(), |c| c.failed);
+                Ok(Outcome::Conflict(failed))
+            }
+            StatusCode::BAD_REQUEST if body.windows(13).any(|w| w == b"no such lease") => {
+                Ok(Outcome::NoLease)
+            }
+            StatusCode::BAD_REQUEST => {
+                tracing::error!(body = %String::from_utf8_lossy(&body), "state service calls a transaction malformed");
+                Err(Error::Refused)
+            }
+            _ => Err(Error::Unknown),
+        }
+    }
+
+    /// Takes a lease.
+    ///
+    /// # Errors
+    /// When the service gave no usable answer.
+    pub async fn grant(&self, ttl: Duration) -> Result<u64, Error> {
+        let ask = LeaseRequest {
+            ttl_ms: u64::try_from(ttl.as_millis()).unwrap_or(600_000),
+        };
+        let (status, body) = self
+            .call(
+                Class::Leadership,
+                0,
+                Method::POST,
+                "/leases",
+                Some(&ask),
+                self.timeout,
+            )
+            .await?;
+        if status != StatusCode::OK {
+            return Err(Error::Unknown);
+        }
+        parse::<Lease>(&body).map(|l| l.id)
+    }
+
+    /// Renews a lease; `false` when it has ended.
+    ///
+    /// # Errors
+    /// When the service gave no usable answer.
+    pub async fn touch(&self, lease: u64, timeout: Duration) -> Result<bool, Error> {
+        let path = format!("/leases/{lease}/touch");
+        let (status, _) = self
+            .call::<()>(Class::Leadership, 0, Method::POST, &path, None, timeout)
+            .await?;
+        match status {
+            StatusCode::OK => Ok(true),
+            StatusCode::NOT_FOUND => Ok(false),
+            _ => Err(Error::Unknown),
+        }
+    }
+
+    /// Ends a lease at once.
+    ///
+    /// # Errors
+    /// When the service gave no usable answer.
+    pub async fn end_lease(&self, lease: u64) -> Result<(), Error> {
+        let path = format!("/leases/{lease}");
+        self.call::<()>(
+            Class::Leadership,
+            0,
+            Method::DELETE,
+            &path,
+            None,
+            self.timeout,
+        )
+        .await
+        .map(|_| ())
+    }
+
+    /// Waits for changes under a prefix after a revision. A watch that is not
+    /// answered well after `block` is given up, so that a dead connection is
+    /// noticed.
+    ///
+    /// # Errors
+    /// When the service gave no usable answer.
+    pub async fn changes(
+        &self,
+        prefix: &str,
+        since: u64,
+        block: Duration,
+    ) -> Result<Watched, Error> {
+        let path = format!(
+            "/changes?starts={prefix}&since={since}&blockMs={}",
+            block.as_millis()
+        );
+        let (status, body) = self
+            .call::<()>(
+                Class::Leadership,
+                0,
+                Method::GET,
+                &path,
+                None,
+                block + self.timeout,
+            )
+            .await?;
+        match status {
+            StatusCode::OK => parse(&body).map(Watched::Changes),
+            StatusCode::GONE => Ok(Watched::TooOld),
+            _ => Err(Error::Unknown),
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(body).map_err(|error| {
+        tracing::warn!(%error, "malformed answer from the state service, taken as none");
+        Error::Unknown
+    })
+}
--- /dev/null
+++ b/crates/tallygauge-wire/src/state.rs
@@ -0,0 +1,158 @@
+//! What the state service takes and gives.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// A key with its value.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// Key.
+    #[serde(rename = "path")]
+    pub key: String,
+    /// Value.
+    pub value: Value,
+    /// Revision of its last change.
+    #[serde(rename = "stamp")]
+    pub version: u64,
+}
+
+/// Answer to a key that does not exist, or to a transaction that was made.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Revision {
+    /// Counts every change.
+    #[serde(rename = "epoch")]
+    pub revision: u64,
+}
+
+/// One page of a listing.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Page {
+    /// Rows in key order.
+    pub rows: Vec<Row>,
+    /// Whether more follow.
+    #[serde(rename = "hasNext")]
+    pub more: bool,
+    /// Revision the page was read at.
+    #[serde(rename = "epoch")]
+    pub revision: u64,
+}
+
+/// Condition of a transaction: the key has this version (0: does not exist).
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Guard {
+    /// Key.
+    #[serde(rename = "path")]
+    pub key: String,
+    /// Version.
+    #[serde(rename = "stamp")]
+    pub version: u64,
+}
+
+/// One write of a transaction.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Write {
+    /// Set a key.
+    Set {
+        /// Key.
+        #[serde(rename = "set")]
+        key: String,
+        /// Value.
+        value: Value,
+        /// Lease to attach it to.
+        #[serde(rename = "permit", default, skip_serializing_if = "Option::is_none")]
+        lease: Option<u64>,
+    },
+    /// Remove a key.
+    Remove {
+        /// Key.
+        #[serde(rename = "remove")]
+        key: String,
+    },
+}
+
+/// A transaction.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Transaction {
+    /// Conditions.
+    pub guards: Vec<Guard>,
+    /// Writes.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub writes: Vec<Write>,
+}
+
+/// Body of a 409.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Conflict {
+    /// Keys whose condition failed.
+    pub failed: Vec<String>,
+}
+
+/// Asks for a lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRequest {
+    /// Time to live, milliseconds.
+    #[serde(rename = "ttlMs")]
+    pub ttl_ms: u64,
+}
+
+/// A lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// Its id.
+    #[serde(rename = "permit")]
+    pub id: u64,
+}
+
+/// One change seen by a watch.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Change {
+    /// A key was set.
+    Set {
+        /// Key.
+        #[serde(rename = "set")]
+        key: String,
+        /// Value.
+        value: Value,
+        /// Version.
+        #[serde(rename = "stamp")]
+        version: u64,
+    },
+    /// A key was removed.
+    Remove {
+        /// Key.
+        #[serde(rename = "remove")]
+        key: String,
+        /// Revision of the removal.
+        #[serde(rename = "stamp")]
+        version: u64,
+    },
+}
+
+/// Answer of a watch.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Changes {
+    /// Go on from here.
+    #[serde(rename = "epoch")]
+    pub revision: u64,
+    /// Changes in order.
+    pub news: Vec<Change>,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn examples_round_trip() {
+        let text = r#"{"guards":[{"path":"a/b","stamp":0}],"writes":[{"set":"a/b","value":{"x":1},"permit":7},{"remove":"c/d"}]}"#;
+        let txn: Transaction = serde_json::from_str(text).unwrap();
+        assert!(matches!(&txn.writes[1], Write::Remove { key } if key == "c/d"));
+        assert_eq!(serde_json::to_string(&txn).unwrap(), text);
+        let news = r#"{"epoch":433,"news":[{"set":"c/9","value":{},"stamp":433},{"remove":"c/d","stamp":432}]}"#;
+        let changes: Changes = serde_json::from_str(news).unwrap();
+        assert_eq!(changes.news.len(), 2);
+        assert_eq!(serde_json::to_string(&changes).unwrap(), news);
+    }
+}
--- /dev/null
+++ b/crates/tallygauge/src/leader.rs
@@ -0,0 +1,410 @@
+//! Leadership: winning a term, keeping it, and loading the picture.
+
+use crate::{
+    cloud, control,
+    node::{LEADER_KEY, Lead, Node, TERM_KEY, over_key},
+    users::{OpenRecord, OverRecord},
+    workers,
+};
+use serde::{Deserialize, Serialize};
+use std::{collections::HashMap, sync::Arc, time::Duration};
+use tallygauge_sched::{Cluster, RangeSet, WorkerRecord};
+use tallygauge_state::{Class, Error, Outcome, Watched};
+use tallygauge_wire::{
+    state::{Change, Guard, Transaction, Write},
+    users::JobSpec,
+};
+
+/// Value of the leased leader key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct LeaderRecord {
+    node: String,
+    term: u64,
+    lease: u64,
+}
+
+/// Value of the persistent term key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct TermRecord {
+    term: u64,
+    node: String,
+}
+
+/// What the state service says about the term.
+struct Terms {
+    leader: Option<LeaderRecord>,
+    term: u64,
+    term_version: u64,
+    revision: u64,
+}
+
+async fn read_terms(node: &Node) -> Result<Terms, Error> {
+    let (rows, revision) = node.state.list(Class::Leadership, "t/").await?;
+    let mut terms = Terms {
+        leader: None,
+        term: 0,
+        term_version: 0,
+        revision,
+    };
+    for row in rows {
+        if row.key == LEADER_KEY {
+            terms.leader = serde_json::from_value(row.value).ok();
+        } else if row.key == TERM_KEY {
+            let record: TermRecord = serde_json::from_value(row.value).map_err(|error| {
+                tracing::error!(%error, "the term can't be read");
+                Error::Unknown
+            })?;
+            terms.term = record.term;
+            terms.term_version = row.version;
+        }
+    }
+    Ok(terms)
+}
+
+fn jitter(most: Duration) -> Duration {
+    most.mul_f64(rand::random::<f64>())
+}
+
+/// Follows the term, and leads whenever this node wins it. Never returns.
+pub async fn run(node: Arc<Node>) {
+    let ttl = node.term_ttl();
+    loop {
+        let terms = match read_terms(&node).await {
+            Ok(terms) => terms,
+            Err(_) => {
+                tokio::time::sleep(ttl / 8 + jitter(ttl / 8)).await;
+                continue;
+            }
+        };
+        *node.lock(&node.reached) = true;
+        node.hear_of(terms.term, terms.leader.as_ref().map(|l| l.node.as_str()));
+        match &terms.leader {
+            Some(_) => follow(&node, terms.revision).await,
+            None => {
+                let lease = match node.state.grant(ttl).await {
+                    Ok(lease) => lease,
+                    Err(_) => {
+                        tokio::time::sleep(ttl / 8 + jitter(ttl / 8)).await;
+                        continue;
+                    }
+                };
+                match win(&node, &terms, lease).await {
+                    Some(lead) => {
+                        office(&node, lead, lease).await;
+                        let _ = node.state.end_lease(lease).await;
+                        tokio::time::sleep(jitter(ttl / 4)).await;
+                    }
+                    None => {
+                        let _ = node.state.end_lease(lease).await;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Waits until the leader or the term changes.
+async fn follow(node: &Node, revision: u64) {
+    // A watch that dies quietly must not keep a node from standing for long.
+    let block = node.term_ttl() * 2;
+    match node.state.changes("t/", revision, block).await {
+        Ok(Watched::Changes(_) | Watched::TooOld) => {}
+        Err(_) => tokio::time::sleep(jitter(node.term_ttl() / 4)).await,
+    }
+}
+
+/// Tries to win the next term: the leader key must be free and the term as it
+/// was read. `None` when another was faster.
+async fn win(node: &Node, terms: &Terms, lease: u64) -> Option<Lead> {
+    let term = terms.term + 1;
+    let name = node.settings.node_name.clone();
+    let leader = LeaderRecord {
+        node: name.clone(),
+        term,
+        lease,
+    };
+    let asked = node.now();
+    let txn = Transaction {
+        guards: vec![
+            Guard {
+                key: LEADER_KEY.into(),
+                version: 0,
+            },
+            Guard {
+                key: TERM_KEY.into(),
+                version: terms.term_version,
+            },
+        ],
+        writes: vec![
+            Write::Set {
+                key: LEADER_KEY.into(),
+                value: serde_json::to_value(&leader).ok()?,
+                lease: Some(lease),
+            },
+            Write::Set {
+                key: TERM_KEY.into(),
+                value: serde_json::to_value(TermRecord {
+                    term,
+                    node: name.clone(),
+                })
+                .ok()?,
+                lease: None,
+            },
+        ],
+    };
+    let version = match node.state.transact(Class::Leadership, &txn).await {
+        Ok(Outcome::Made(version)) => version,
+        Ok(_) | Err(Error::Refused) => return None,
+        Err(Error::Unknown) => {
+            // It may have been made: then it says so.
+            let now = read_terms(node).await.ok()?;
+            if now.leader.as_ref() != Some(&leader) || now.term != term {
+                return None;
+            }
+            now.term_version
+        }
+    };
+    tracing::info!(term, "leads");
+    let lead = Lead {
+        term,
+        guard: Guard {
+            key: TERM_KEY.into(),
+            version,
+        },
+        cluster: None,
+        confirmed: asked,
+        watched: asked,
+        answered: 0,
+    };
+    Some(lead)
+}
+
+/// One term in office, until it is lost.
+async fn office(node: &Arc<Node>, lead: Lead, lease: u64) {
+    let term = lead.term;
+    let guard = lead.guard.clone();
+    *node.lock(&node.lead) = Some(lead);
+    node.hear_of(term, Some(&node.settings.node_name));
+    share(node, true);
+    tokio::select! {
+        () = keep(node, lease) => {}
+        () = work(node, term, guard) => {}
+        () = lost(node, term) => {}
+    }
+    node.step_down("the term has ended");
+    share(node, false);
+}
+
+/// The leader has half of the request budget, the others share the rest.
+fn share(node: &Node, leads: bool) {
+    let limits = &node.settings.deployment.state;
+    let others = f64::from(node.settings.deployment.count.max(2) - 1);
+    let share = if leads { 0.55 } else { 0.45 / others };
+    node.state
+        .budget()
+        .set_rates(limits.rps * share, limits.write_rps * share);
+}
+
+async fn lost(node: &Node, term: u64) {
+    loop {
+        let lead = node.lock(&node.lead).as_ref().map(|l| l.term);
+        if lead != Some(term) {
+            return;
+        }
+        node.deposed.notified().await;
+    }
+}
+
+/// Renews the lease. Returns when it is surely gone; while the service says
+/// nothing, the term goes on and fences itself.
+async fn keep(node: &Node, lease: u64) {
+    let ttl = node.term_ttl();
+    loop {
+        let asked = node.now();
+        match node.state.touch(lease, ttl / 3).await {
+            Ok(true) => {
+                if let Some(lead) = node.lock(&node.lead).as_mut() {
+                    lead.confirmed = lead.confirmed.max(asked);
+                }
+                tokio::time::sleep(ttl / 4).await;
+            }
+            Ok(false) => {
+                tracing::info!("the leader's lease has ended");
+                return;
+            }
+            Err(_) => tokio::time::sleep(ttl / 10).await,
+        }
+    }
+}
+
+async fn work(node: &Arc<Node>, term: u64, guard: Guard) {
+    let revision = loop {
+        match load(node, term).await {
+            Ok(revision) => break revision,
+            Err(error) => {
+                tracing::warn!(%error, "can't load the picture yet");
+                tokio::time::sleep(node.term_ttl() / 8).await;
+            }
+        }
+    };
+    workers::dispatch(node);
+    node.wake.notify_one();
+    tokio::join!(
+        watch_jobs(node, revision),
+        control::run(node, guard.clone()),
+        control::finish(node, guard),
+        cloud::run(node, term),
+    );
+}
+
+/// Reads jobs, finished tasks and placements into a picture. Returns the
+/// revision from which jobs must be watched.
+async fn load(node: &Node, term: u64) -> Result<u64, Error> {
+    let class = Class::Leadership;
+    let (open, revision) = node.state.list(class, "o/").await?;
+    let (chunks, _) = node.state.list(class, "f/").await?;
+    let (records, _) = node.state.list(class, "p/").await?;
+    let mut done: HashMap<String, RangeSet> = HashMap::new();
+    let mut garbage = Vec::new();
+    for row in chunks {
+        let mut parts = row.key.split('/').skip(1);
+        let (Some(id), Some(chunk)) = (parts.next(), parts.next().and_then(|c| c.parse().ok()))
+        else {
+            continue;
+        };
+        let ranges: RangeSet = serde_json::from_value(row.value).map_err(|error| {
+            tracing::error!(%error, key = row.key, "finished tasks can't be read");
+            Error::Unknown
+        })?;
+        garbage.push((id.to_string(), chunk));
+        done.entry(id.to_string())
+            .or_default()
+            .extend(&ranges, u32::MAX);
+    }
+    let now = node.now();
+    let time_of_day = Node::time_of_day();
+    let mut cluster = Cluster::new(node.sched_config(term), now, node.chunk());
+    if let Some(types) = node.lock(&node.catalogue).clone() {
+        cluster.set_types(&types);
+    }
+    let mut specs: HashMap<String, Arc<JobSpec>> = HashMap::new();
+    for row in open {
+        let record: OpenRecord = serde_json::from_value(row.value).map_err(|error| {
+            tracing::error!(%error, key = row.key, "an open job can't be read");
+            Error::Unknown
+        })?;
+        let id = record.spec.id.clone();
+        let none = RangeSet::default();
+        let finished = done.get(&id).unwrap_or(&none);
+        specs.insert(id, Arc::new(record.spec.clone()));
+        let accepted = now - (time_of_day - record.at).max(0.0);
+        cluster.add_job(record.spec, row.version, accepted, finished);
+    }
+    garbage.retain(|(id, _)| !cluster.jobs.contains_key(id));
+    cluster.garbage = garbage;
+    for row in records {
+        let Some(name) = row.key.strip_prefix("p/") else {
+            continue;
+        };
+        let record: WorkerRecord = serde_json::from_value(row.value).map_err(|error| {
+            tracing::error!(%error, key = row.key, "placements can't be read");
+            Error::Unknown
+        })?;
+        // Tasks of jobs that are over may still be on the machine, and count.
+        for task in &record.tasks {
+            if !specs.contains_key(&task.job)
+                && let Some(over) = node.state.get(class, &over_key(&task.job)).await?
+                && let Ok(OverRecord {
+                    spec: Some(spec), ..
+                }) = serde_json::from_value(over.value)
+            {
+                specs.insert(task.job.clone(), Arc::new(spec));
+            }
+        }
+        cluster.inherit(name, &record, row.version, &specs, now, time_of_day);
+    }
+    let (jobs, machines) = (cluster.jobs.len(), cluster.workers.len());
+    cluster.term_at = node.now();
+    if let Some(lead) = node.lock(&node.lead).as_mut().filter(|l| l.term == term) {
+        lead.cluster = Some(cluster);
+    }
+    tracing::info!(term, jobs, machines, "picture loaded");
+    Ok(revision)
+}
+
+/// Follows submissions and cancellations made through any node.
+async fn watch_jobs(node: &Node, mut revision: u64) {
+    let block = Duration::from_secs_f64(node.fence_s() / 6.0);
+    loop {
+        let asked = node.now();
+        match node.state.changes("o/", revision, block).await {
+            Ok(Watched::Changes(changes)) => {
+                let now = node.now();
+                let time_of_day = Node::time_of_day();
+                let any = !changes.news.is_empty();
+                revision = revision.max(changes.revision);
+                if let Some(lead) = node.lock(&node.lead).as_mut() {
+                    lead.watched = asked;
+                    if let Some(cluster) = lead.cluster.as_mut() {
+                        for change in changes.news {
+                            apply(cluster, change, now, time_of_day);
+                        }
+                    }
+                }
+                if any {
+                    node.wake.notify_one();
+                }
+            }
+            Ok(Watched::TooOld) => match node.state.list(Class::Leadership, "o/").await {
+                Ok((rows, at)) => {
+                    let now = node.now();
+                    let time_of_day = Node::time_of_day();
+                    node.with_cluster(|cluster| {
+                        let over: Vec<String> = cluster
+                            .jobs
+                            .keys()
+                            .filter(|id| !rows.iter().any(|r| r.key == format!("o/{id}")))
+                            .cloned()
+                            .collect();
+                        for id in over {
+                            cluster.remove_job(&id, now);
+                        }
+                        for row in rows {
+                            let change = Change::Set {
+                                key: row.key,
+                                value: row.value,
+                                version: row.version,
+                            };
+                            apply(cluster, change, now, time_of_day);
+                        }
+                    });
+                    revision = at;
+                    node.wake.notify_one();
+                }
+                Err(_) => tokio::time::sleep(node.term_ttl() / 8).await,
+            },
+            Err(_) => tokio::time::sleep(node.term_ttl() / 8).await,
+        }
+    }
+}
+
+fn apply(cluster: &mut Cluster, change: Change, now: f64, time_of_day: f64) {
+    match change {
+        Change::Set {
+            value,
+            version,
+            key,
+        } => match serde_json::from_value::<OpenRecord>(value) {
+            Ok(record) => {
+                let accepted = now - (time_of_day - record.at).max(0.0);
+                cluster.add_job(record.spec, version, accepted, &RangeSet::default());
+            }
+            Err(error) => tracing::error!(%error, key, "an open job can't be read"),
+        },
+        Change::Remove { key, .. } => {
+            if let Some(id) = key.strip_prefix("o/") {
+                cluster.remove_job(id, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tallygauge/src/lib.rs
@@ -0,0 +1,55 @@
+//! The tallygauge controller: a cluster scheduler in which one leader, under a
+//! term, places waiting tasks by worth per remaining time.
+//!
+//! `docs/design.md` says how it works and why it is safe.
+
+pub mod cloud;
+pub mod control;
+pub mod leader;
+pub mod node;
+pub mod peers;
+pub mod server;
+pub mod settings;
+pub mod tuning;
+pub mod users;
+pub mod workers;
+
+use node::Node;
+use std::{sync::Arc, time::Duration};
+use tallygauge_state::http::Http;
+use tokio::sync::mpsc;
+
+/// The parts that run without being asked: leadership, questions, catalogue.
+pub async fn background(node: Arc<Node>, questions: mpsc::Receiver<node::Query>) {
+    let pause = Duration::from_secs_f64(2.0 / node.settings.deployment.cloud.rps);
+    let catalogue = async {
+        while !cloud::read_catalogue(&node).await {
+            tokio::time::sleep(pause.mul_f64(1.0 + rand::random::<f64>())).await;
+        }
+    };
+    tokio::join!(
+        catalogue,
+        leader::run(node.clone()),
+        users::answer_queries(node.clone(), questions),
+    );
+}
+
+/// Runs a controller until it is killed.
+///
+/// # Errors
+/// When an address can't be taken.
+pub async fn run(
+    settings: settings::Settings,
+    tuning: tuning::Tuning,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let connect = Duration::from_secs(1);
+    let limit = (settings.deployment.quota.memory_mb * 1024.0 * 1024.0 / 8.0) as usize;
+    let http = Http::new(connect, limit);
+    let (node, questions) = Node::new(settings, tuning, http);
+    tracing::info!(node = node.settings.node_name, "starts");
+    tokio::spawn(server::serve(node.clone()));
+    tokio::spawn(peers::run(node.clone()));
+    tokio::spawn(background(node.clone(), questions));
+    peers::serve(node).await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/tallygauge/src/node.rs
@@ -0,0 +1,340 @@
+//! What the parts of a controller share.
+
+use crate::{settings::Settings, tuning::Tuning};
+use std::{
+    collections::{BTreeSet, HashMap, VecDeque},
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+use tallygauge_sched::{Cluster, Config};
+use tallygauge_state::{Budget, Client, http::Http};
+use tallygauge_wire::{cloud::MachineType, state::Guard, users::JobStatus};
+use tokio::{
+    sync::{Notify, mpsc, oneshot},
+    time::Instant,
+};
+
+/// Key of the leased leader record.
+pub const LEADER_KEY: &str = "t/leader";
+/// Key of the persistent term.
+pub const TERM_KEY: &str = "t/term";
+
+/// Key of an open job.
+#[must_use]
+pub fn open_key(id: &str) -> String {
+    format!("o/{id}")
+}
+
+/// Key of a job that is over.
+#[must_use]
+pub fn over_key(id: &str) -> String {
+    format!("j/{id}")
+}
+
+/// Key of a chunk of a job's finished tasks.
+#[must_use]
+pub fn chunk_key(id: &str, chunk: u32) -> String {
+    format!("f/{id}/{chunk}")
+}
+
+/// Key of a worker's placements.
+#[must_use]
+pub fn worker_key(name: &str) -> String {
+    format!("p/{name}")
+}
+
+/// What a node knows of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Known {
+    /// Open, its record having this version when last read.
+    Open(u64),
+    /// Over; this never changes again.
+    Over(JobStatus, u32),
+}
+
+/// Jobs that were asked about, the longest known dropped first.
+pub struct JobCache {
+    known: HashMap<String, Known>,
+    order: VecDeque<String>,
+    most: usize,
+}
+
+impl JobCache {
+    fn new(most: usize) -> Self {
+        Self {
+            known: HashMap::new(),
+            order: VecDeque::new(),
+            most,
+        }
+    }
+
+    /// What is known of a job.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<Known> {
+        self.known.get(id).copied()
+    }
+
+    /// Notes what is known. What is over stays over.
+    pub fn put(&mut self, id: &str, what: Known) {
+        match self.known.get_mut(id) {
+            Some(Known::Over(..)) => {}
+            Some(known) => *known = what,
+            None => {
+                self.known.insert(id.to_string(), what);
+                self.order.push_back(id.to_string());
+                if self.order.len() > self.most
+                    && let Some(old) = self.order.pop_front()
+                {
+                    self.known.remove(&old);
+                }
+            }
+        }
+    }
+
+    /// Forgets an open job that is not as it was.
+    pub fn forget_open(&mut self, id: &str, version: u64) {
+        if self.known.get(id) == Some(&Known::Open(version)) {
+            self.known.insert(id.to_string(), Known::Open(u64::MAX));
+        }
+    }
+}
+
+/// Who leads, as far as this node knows.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Role {
+    /// Highest term heard of.
+    pub term: u64,
+    /// Its holder, if known to be in office.
+    pub leader: Option<String>,
+}
+
+/// This node's own leadership.
+pub struct Lead {
+    /// The term, also the token.
+    pub term: u64,
+    /// Condition of every write.
+    pub guard: Guard,
+    /// The picture; `None` while it is being loaded.
+    pub cluster: Option<Cluster>,
+    /// When the lease was last known to hold.
+    pub confirmed: f64,
+    /// Start of the last watch that was answered.
+    pub watched: f64,
+    /// Check-ins answered in this term.
+    pub answered: u64,
+}
+
+/// Task counts of open jobs, for display.
+#[derive(Default)]
+pub struct Counts {
+    /// Counts and when they were read.
+    pub known: HashMap<String, (u32, u32, f64)>,
+    /// Jobs asked about since the last refresh.
+    pub asked: BTreeSet<String>,
+}
+
+/// A question whether keys have the given versions.
+pub struct Query {
+    /// Keys and versions.
+    pub guards: Vec<Guard>,
+    /// Where the answer goes: for each, whether it has; `None`: can't know.
+    pub reply: oneshot::Sender<Option<Vec<bool>>>,
+}
+
+/// One controller.
+pub struct Node {
+    /// Platform's settings.
+    pub settings: Settings,
+    /// Operators' settings.
+    pub tuning: Tuning,
+    /// State service.
+    pub state: Client,
+    /// For cloud and workers.
+    pub http: Http,
+    /// Start of the process's clock.
+    pub began: Instant,
+    /// Machine types, once known.
+    pub catalogue: Mutex<Option<Arc<Vec<MachineType>>>>,
+    /// Jobs.
+    pub jobs: Mutex<JobCache>,
+    /// Who leads.
+    pub role: Mutex<Role>,
+    /// Own leadership.
+    pub lead: Mutex<Option<Lead>>,
+    /// Task counts.
+    pub counts: Mutex<Counts>,
+    /// Questions for the state service.
+    pub queries: mpsc::Sender<Query>,
+    /// Something changed that a round should look at.
+    pub wake: Notify,
+    /// The cloud should be looked at.
+    pub wake_cloud: Notify,
+    /// The term is lost.
+    pub deposed: Notify,
+    /// The role changed.
+    pub role_changed: Notify,
+    /// The state service has been reached.
+    pub reached: Mutex<bool>,
+}
+
+impl Node {
+    /// A node, and the other end of its questions.
+    #[must_use]
+    pub fn new(
+        settings: Settings,
+        tuning: Tuning,
+        http: Http,
+    ) -> (Arc<Self>, mpsc::Receiver<Query>) {
+        let limits = &settings.deployment.state;
+        let timeout = Duration::from_secs_f64(settings.deployment.workers.lease_s / 12.0)
+            .clamp(Duration::from_millis(500), Duration::from_secs(2));
+        let share = 1.0 / f64::from(settings.deployment.count.max(1));
+        let budget = Arc::new(Budget::new(limits.rps * share, limits.write_rps * share));
+        let state = Client::new(
+            http.clone(),
+            &settings.services.state.to_string(),
+            budget,
+            timeout,
+        );
+        // A job known takes about a kilobyte at most; a tenth of the memory.
+        let most = (settings.deployment.quota.memory_mb * 100.0) as usize;
+        let (queries, questions) = mpsc::channel(settings.deployment.quota.sockets as usize);
+        let node = Self {
+            settings,
+            tuning,
+            state,
+            http,
+            began: Instant::now(),
+            catalogue: Mutex::default(),
+            jobs: Mutex::new(JobCache::new(most.max(1000))),
+            role: Mutex::default(),
+            lead: Mutex::default(),
+            counts: Mutex::default(),
+            queries,
+            wake: Notify::new(),
+            wake_cloud: Notify::new(),
+            deposed: Notify::new(),
+            role_changed: Notify::new(),
+            reached: Mutex::new(false),
+        };
+        (Arc::new(node), questions)
+    }
+
+    /// Seconds of the process's steady clock. Starts well above 0, so that
+    /// times before the process began can be told.
+    #[must_use]
+    pub fn now(&self) -> f64 {
+        self.began.elapsed().as_secs_f64() + 1.0
+    }
+
+    /// Seconds of the time of day: for display and deadlines, never for
+    /// safety.
+    #[must_use]
+    pub fn time_of_day() -> f64 {
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0.0, |d| d.as_secs_f64())
+    }
+
+    /// How long a leader goes on answering workers without its term being
+    /// confirmed. What it answered last then ends within a lease, so all of it
+    /// before a cancellation made elsewhere is due.
+    #[must_use]
+    pub fn fence_s(&self) -> f64 {
+        let w = &self.settings.deployment.workers;
+        (w.cancel_s - w.lease_s) * 0.85
+    }
+
+    /// Time to live of the leader's lease at the state service.
+    #[must_use]
+    pub fn term_ttl(&self) -> Duration {
+        Duration::from_secs_f64(self.settings.deployment.workers.lease_s / 6.0)
+    }
+
+    /// The scheduler's settings for a term.
+    #[must_use]
+    pub fn sched_config(&self, term: u64) -> Config {
+        let d = &self.settings.deployment;
+        let t = &self.tuning;
+        Config {
+            teams: self.settings.teams(),
+            report_s: d.workers.report_s,
+            lease_s: d.workers.lease_s,
+            cancel_s: d.workers.cancel_s,
+            fence_s: self.fence_s(),
+            list_lag_s: d.cloud.list_lag_s,
+            drift: 0.0005,
+            floor_s: t.remaining_floor,
+            worth: [
+                t.worth.low,
+                t.worth.normal,
+                t.worth.high,
+                t.worth.production,
+            ],
+            late_worth: t.late_worth,
+            idle_boots: t.idle_wait,
+            horizon_boots: t.rent_horizon,
+            class_due_s: d
+                .objectives
+                .iter()
+                .filter(|o| o.kind == "finished")
+                .filter_map(|o| Some((o.class.clone()?, o.within_s?)))
+                .collect(),
+            tasks_per_worker: ((d.state.value_kb * 1024.0 * 0.9) as usize
+                / tallygauge_sched::TASK_RECORD_BYTES)
+                .max(1),
+            term,
+        }
+    }
+
+    /// Tasks whose ends share a record: at worst seven bytes each.
+    #[must_use]
+    pub fn chunk(&self) -> u32 {
+        ((self.settings.deployment.state.value_kb * 1024.0 / 10.0) as u32).max(16)
+    }
+
+    /// Locks something for a moment.
+    pub fn lock<'a, T>(&self, what: &'a Mutex<T>) -> MutexGuard<'a, T> {
+        what.lock().expect("a task that held this lock panicked")
+    }
+
+    /// Works on the picture, if this node leads and has one.
+    pub fn with_cluster<R>(&self, work: impl FnOnce(&mut Cluster) -> R) -> Option<R> {
+        self.lock(&self.lead)
+            .as_mut()
+            .and_then(|l| l.cluster.as_mut())
+            .map(work)
+    }
+
+    /// Takes up word of a term. Own leadership under a lower one ends at once.
+    pub fn hear_of(&self, term: u64, leader: Option<&str>) {
+        {
+            let mut role = self.lock(&self.role);
+            if term < role.term || (term == role.term && leader == role.leader.as_deref()) {
+                return;
+            }
+            if term > role.term || leader.is_some() {
+                role.leader = leader.map(str::to_string);
+            }
+            role.term = term;
+        }
+        self.role_changed.notify_waiters();
+        let mine = self.lock(&self.lead).as_ref().map(|l| l.term);
+        if mine.is_some_and(|m| m < term) {
+            self.step_down("a higher term is about");
+        }
+    }
+
+    /// Gives up own leadership.
+    pub fn step_down(&self, cause: &str) {
+        if let Some(lead) = self.lock(&self.lead).take() {
+            tracing::info!(term = lead.term, cause, "leads no more");
+            let mut role = self.lock(&self.role);
+            if role.leader.as_deref() == Some(self.settings.node_name.as_str()) {
+                role.leader = None;
+            }
+        }
+        self.deposed.notify_waiters();
+        self.deposed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/tallygauge/src/server.rs
@@ -0,0 +1,114 @@
+//! HTTP: users, workers and health checks on one address.
+
+use crate::{
+    node::Node,
+    users::{self, Reply},
+    workers::{self, CheckIn},
+};
+use bytes::Buf;
+use futures_util::{Stream, StreamExt};
+use std::sync::Arc;
+use tallygauge_wire::{BODY_LIMIT, users::ErrorBody};
+use warp::{
+    Filter,
+    http::{Method, Response, StatusCode},
+};
+
+type Answer = Response<Vec<u8>>;
+
+fn respond(status: u16, body: Vec<u8>, retry_after: Option<u64>) -> Answer {
+    let mut builder = Response::builder()
+        .status(StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR))
+        .header("content-type", "application/json");
+    if let Some(seconds) = retry_after {
+        builder = builder.header("retry-after", seconds);
+    }
+    builder.body(body).unwrap_or_default()
+}
+
+fn error(status: u16, text: &str) -> Answer {
+    let body = ErrorBody { error: text.into() };
+    respond(status, serde_json::to_vec(&body).unwrap_or_default(), None)
+}
+
+fn user(reply: &Reply) -> Answer {
+    let retry = match reply {
+        Reply::Later(_, seconds) => Some(*seconds),
+        _ => None,
+    };
+    respond(reply.status(), reply.body(), retry)
+}
+
+fn worker(answer: &CheckIn) -> Answer {
+    match answer {
+        CheckIn::Take(answer) => respond(200, serde_json::to_vec(answer).unwrap_or_default(), None),
+        CheckIn::Elsewhere(to) => respond(421, serde_json::to_vec(to).unwrap_or_default(), None),
+        CheckIn::NotNow => error(503, "not entitled to act for the controllers now"),
+        CheckIn::Malformed(why) => error(400, why),
+    }
+}
+
+async fn route(node: Arc<Node>, method: Method, path: String, body: Vec<u8>) -> Answer {
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let get = method == Method::GET;
+    let post = method == Method::POST;
+    match parts.as_slice() {
+        ["work"] if post => user(&users::submit(&node, &body).await),
+        ["work", id] if get => user(&users::status(&node, id).await),
+        ["work", id, "abort"] if post => user(&users::cancel(&node, id).await),
+        ["checkin"] if post => worker(&workers::check_in(&node, &body)),
+        ["ready"] if get => {
+            if ready(&node) {
+                respond(200, b"{}".to_vec(), None)
+            } else {
+                error(503, "not ready")
+            }
+        }
+        ["work"] | ["work", _] | ["work", _, "abort"] | ["checkin"] | ["ready"] => {
+            error(405, "no such method here")
+        }
+        _ => error(404, "no such path"),
+    }
+}
+
+/// Whether the node can judge submissions and tell the state of jobs.
+fn ready(node: &Node) -> bool {
+    node.lock(&node.catalogue).is_some() && *node.lock(&node.reached)
+}
+
+/// Serves users, workers and health checks. Never returns.
+pub async fn serve(node: Arc<Node>) {
+    let addr = node.settings.client_listen;
+    let routes = warp::method()
+        .and(warp::path::full())
+        .and(warp::body::stream())
+        .then(move |method, path: warp::path::FullPath, body| {
+            let node = node.clone();
+            async move {
+                match collect(body).await {
+                    Some(body) => route(node, method, path.as_str().to_string(), body).await,
+                    None => error(400, "the body is over 64 KiB or broke off"),
+                }
+            }
+        });
+    warp::serve(routes).run(addr).await;
+}
+
+/// Reads a body of bounded size.
+async fn collect(body: impl Stream<Item = Result<impl Buf, warp::Error>>) -> Option<Vec<u8>> {
+    let mut body = std::pin::pin!(body);
+    let mut out = Vec::new();
+    while let Some(part) = body.next().await {
+        let mut part = part.ok()?;
+        if out.len() + part.remaining() > BODY_LIMIT {
+            return None;
+        }
+        while part.has_remaining() {
+            let chunk = part.chunk();
+            out.extend_from_slice(chunk);
+            let n = chunk.len();
+            part.advance(n);
+        }
+    }
+    Some(out)
+}
--- /dev/null
+++ b/crates/tallygauge/src/settings.rs
@@ -0,0 +1,314 @@
+//! The platform's settings (JSON), checked field by field.
+
+use serde::Deserialize;
+use std::{net::SocketAddr, path::Path};
+use tallygauge_sched::TeamConfig;
+
+/// Settings as the platform hands them over.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    /// This node.
+    pub node_name: String,
+    /// Its zone.
+    pub area: String,
+    /// Where users, workers and health checks connect.
+    pub client_listen: SocketAddr,
+    /// Where the other controllers connect.
+    pub back: SocketAddr,
+    /// The other controllers.
+    #[serde(rename = "seeds")]
+    pub peers: Vec<Peer>,
+    /// Services of the region.
+    pub services: Services,
+    /// What is deployed.
+    pub deployment: Deployment,
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Peer {
+    /// Its name.
+    pub node_name: String,
+    /// Where it takes peers' calls.
+    pub addr: SocketAddr,
+}
+
+/// Addresses of the region's services.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Services {
+    /// The cloud.
+    pub cloud: SocketAddr,
+    /// The state service.
+    pub state: SocketAddr,
+}
+
+/// The deployment.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Deployment {
+    /// Controllers.
+    pub count: u32,
+    /// Teams.
+    pub teams: Vec<Team>,
+    /// Aims on starting and finishing.
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    /// Workers' times.
+    pub workers: WorkerTimes,
+    /// State service's limits.
+    pub state: StateLimits,
+    /// Cloud's limits.
+    pub cloud: CloudLimits,
+    /// This process's limits.
+    pub quota: Quota,
+}
+
+/// A team.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    /// Name.
+    pub name: String,
+    /// Guaranteed CPUs.
+    pub cpus: f64,
+    /// Most CPUs.
+    pub cpus_max: f64,
+    /// Guaranteed GPUs.
+    #[serde(default)]
+    pub gpus: f64,
+    /// Most GPUs.
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// An aim. Kinds that this version does not know are ignored.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    /// Kind.
+    pub kind: String,
+    /// Class of jobs.
+    #[serde(default)]
+    pub class: Option<String>,
+    /// Within this time.
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+/// Workers' times, seconds.
+#[derive(Debug, Clone, Deserialize)]
+pub struct WorkerTimes {
+    /// Between reports.
+    pub report_s: f64,
+    /// Lease.
+    pub lease_s: f64,
+    /// Until a cancelled job's tasks are gone.
+    pub cancel_s: f64,
+}
+
+/// Limits of the state service.
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    /// Requests a second, all nodes together.
+    pub rps: f64,
+    /// Writes a second, all nodes together.
+    pub write_rps: f64,
+    /// Largest value, KiB.
+    pub value_kb: f64,
+    /// Most writes in a transaction.
+    pub txn_ops: usize,
+}
+
+/// Limits of the cloud.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    /// Requests a second.
+    pub rps: f64,
+    /// Lag of the machine list.
+    pub list_lag_s: f64,
+}
+
+/// Limits of this process.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Quota {
+    /// Cores.
+    pub cores: f64,
+    /// Memory.
+    pub memory_mb: f64,
+    /// Connections.
+    pub sockets: u32,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// One line naming the field and what is wrong.
+    pub fn load(path: &Path) -> Result<Self, String> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|e| format!("settings {}: can't be read: {e}", path.display()))?;
+        Self::parse(&text).map_err(|e| format!("settings {}: {e}", path.display()))
+    }
+
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    /// One line naming the field and what is wrong.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let settings: Self = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let d = &self.deployment;
+        let above_zero = [
+            ("deployment.workers.report_s", d.workers.report_s),
+            ("deployment.workers.lease_s", d.workers.lease_s),
+            ("deployment.workers.cancel_s", d.workers.cancel_s),
+            ("deployment.state.rps", d.state.rps),
+            ("deployment.state.write_rps", d.state.write_rps),
+            ("deployment.state.value_kb", d.state.value_kb),
+            ("deployment.cloud.rps", d.cloud.rps),
+            ("deployment.quota.cores", d.quota.cores),
+            ("deployment.quota.memory_mb", d.quota.memory_mb),
+        ];
+        for (name, value) in above_zero {
+            if !value.is_finite() || value <= 0.0 {
+                return Err(format!("{name} must be above 0, not {value}"));
+            }
+        }
+        if !(d.cloud.list_lag_s.is_finite() && d.cloud.list_lag_s >= 0.0) {
+            return Err("deployment.cloud.list_lag_s must not be negative".into());
+        }
+        if d.workers.report_s * 2.0 > d.workers.lease_s {
+            return Err("deployment.workers.lease_s must be at least twice report_s".into());
+        }
+        if d.workers.cancel_s <= d.workers.lease_s {
+            return Err("deployment.workers.cancel_s must be above lease_s".into());
+        }
+        if d.state.txn_ops < 4 {
+            return Err("deployment.state.txn_ops must be at least 4".into());
+        }
+        if d.quota.sockets == 0 {
+            return Err("deployment.quota.sockets must be above 0".into());
+        }
+        for (i, team) in d.teams.iter().enumerate() {
+            let amounts = [team.cpus, team.cpus_max, team.gpus, team.gpus_max];
+            if amounts.iter().any(|a| !a.is_finite() || *a < 0.0) {
+                return Err(format!(
+                    "deployment.teams[{i}]: amounts must not be negative"
+                ));
+            }
+            if d.teams[..i].iter().any(|t| t.name == team.name) {
+                return Err(format!(
+                    "deployment.teams[{i}].name '{}' is there twice",
+                    team.name
+                ));
+            }
+        }
+        let mut addresses = vec![("client_listen", self.client_listen), ("back", self.back)];
+        addresses.extend(self.peers.iter().map(|p| ("seeds", p.addr)));
+        for (i, (name, addr)) in addresses.iter().enumerate() {
+            if let Some((other, _)) = addresses[..i].iter().find(|a| a.1 == *addr) {
+                return Err(format!("{name}: address {addr} is also that of {other}"));
+            }
+        }
+        let mut names = vec![&self.node_name];
+        for peer in &self.peers {
+            if names.contains(&&peer.node_name) {
+                return Err(format!(
+                    "seeds: node_name '{}' is there twice",
+                    peer.node_name
+                ));
+            }
+            names.push(&peer.node_name);
+        }
+        Ok(())
+    }
+
+    /// Teams as the scheduler takes them.
+    #[must_use]
+    pub fn teams(&self) -> Vec<TeamConfig> {
+        self.deployment
+            .teams
+            .iter()
+            .map(|t| TeamConfig {
+                name: t.name.clone(),
+                cpus: t.cpus,
+                cpus_max: t.cpus_max,
+                gpus: t.gpus,
+                gpus_max: t.gpus_max,
+            })
+            .collect()
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    /// Settings of a small deployment on loopback.
+    pub(crate) fn example() -> serde_json::Value {
+        serde_json::json!({
+            "node_name": "n-0", "area": "a",
+            "client_listen": "127.0.0.1:7080", "back": "127.0.0.1:7081",
+            "seeds": [{"node_name": "n-1", "area": "b", "addr": "127.0.0.1:7181"}],
+            "services": {"cloud": "127.0.0.1:7001", "state": "127.0.0.1:7002"},
+            "deployment": {
+                "count": 2, "zones": ["a", "b"],
+                "teams": [{"name": "t", "cpus": 8.0, "cpus_max": 16.0, "gpus": 0.0, "gpus_max": 0.0}],
+                "objectives": [{"kind": "finished", "class": "c", "within_s": 60.0, "share": 0.5}],
+                "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 1.0, "gang_peer_s": 1.0, "cancel_s": 20.0},
+                "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 8.0, "txn_ops": 16},
+                "cloud": {"rps": 4.0, "list_lag_s": 2.0},
+                "quota": {"cores": 0.5, "memory_mb": 100.0, "sockets": 100}
+            },
+            "time_bound_ms": 5.0, "new_field": true
+        })
+    }
+
+    #[test]
+    fn bad_settings_are_named() {
+        Settings::parse(&example().to_string()).unwrap();
+        for (pointer, value, word) in [
+            (
+                "/deployment/workers/lease_s",
+                serde_json::json!(0),
+                "lease_s",
+            ),
+            (
+                "/deployment/quota/memory_mb",
+                serde_json::json!(-1),
+                "memory_mb",
+            ),
+            (
+                "/seeds/0/addr",
+                serde_json::json!("127.0.0.1:7081"),
+                "seeds",
+            ),
+            (
+                "/deployment/teams/0/cpus",
+                serde_json::json!(-2),
+                "teams[0]",
+            ),
+            ("/back", serde_json::json!("nowhere"), "line"),
+        ] {
+            let mut bad = example();
+            *bad.pointer_mut(pointer).unwrap() = value;
+            let error = Settings::parse(&bad.to_string()).unwrap_err();
+            assert!(
+                error.contains(word) && !error.contains('\n'),
+                "{pointer}: {error}"
+            );
+        }
+        let mut missing = example();
+        missing["deployment"]
+            .as_object_mut()
+            .unwrap()
+            .remove("state");
+        assert!(
+            Settings::parse(&missing.to_string())
+                .unwrap_err()
+                .contains("state")
+        );
+        assert!(Settings::parse("{").is_err());
+    }
+}
--- /dev/null
+++ b/crates/tallygauge/src/tuning.rs
@@ -0,0 +1,134 @@
+//! The operators' own settings (XML): the open values of the design.
+
+use serde::Deserialize;
+use std::path::Path;
+
+/// What operators may set; everything has a default.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Tuning {
+    /// Longest time between two rounds, seconds; events bring them earlier.
+    pub round_interval: f64,
+    /// Least time between two rounds, as a part of the report interval.
+    pub round_gap: f64,
+    /// Floor of the remaining time, seconds.
+    pub remaining_floor: f64,
+    /// Worth of each priority.
+    pub worth: Worth,
+    /// Part of its worth that a job keeps after its deadline.
+    pub late_worth: f64,
+    /// Idle time before a machine is returned, in boot times of its type.
+    pub idle_wait: f64,
+    /// Boot times that waiting work is spread over when machines are rented.
+    pub rent_horizon: f64,
+}
+
+/// Worth of each priority.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Worth {
+    /// Low.
+    pub low: f64,
+    /// Normal.
+    pub normal: f64,
+    /// High (`urgent` on the wire).
+    pub high: f64,
+    /// Production.
+    pub production: f64,
+}
+
+impl Default for Worth {
+    fn default() -> Self {
+        Self {
+            low: 1.0,
+            normal: 2.0,
+            high: 8.0,
+            production: 16.0,
+        }
+    }
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            round_interval: 10.0,
+            round_gap: 0.05,
+            remaining_floor: 5.0,
+            worth: Worth::default(),
+            late_worth: 0.1,
+            idle_wait: 1.5,
+            rent_horizon: 1.0,
+        }
+    }
+}
+
+impl Tuning {
+    /// Reads and checks the file.
+    ///
+    /// # Errors
+    /// One line naming the element and what is wrong.
+    pub fn load(path: &Path) -> Result<Self, String> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|e| format!("{}: can't be read: {e}", path.display()))?;
+        Self::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    /// Parses and checks.
+    ///
+    /// # Errors
+    /// One line naming the element and what is wrong.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let tuning: Self =
+            quick_xml::de::from_str(text).map_err(|e| e.to_string().replace('\n', " "))?;
+        for (name, value) in [
+            ("round-interval", tuning.round_interval),
+            ("round-gap", tuning.round_gap),
+            ("remaining-floor", tuning.remaining_floor),
+            ("worth/low", tuning.worth.low),
+            ("worth/normal", tuning.worth.normal),
+            ("worth/high", tuning.worth.high),
+            ("worth/production", tuning.worth.production),
+            ("idle-wait", tuning.idle_wait),
+            ("rent-horizon", tuning.rent_horizon),
+        ] {
+            if !value.is_finite() || value <= 0.0 {
+                return Err(format!("{name} must be above 0, not {value}"));
+            }
+        }
+        if !(0.0..=1.0).contains(&tuning.late_worth) {
+            return Err("late-worth must be 0 to 1".into());
+        }
+        let w = &tuning.worth;
+        if w.low > w.normal || w.normal > w.high || w.high > w.production {
+            return Err("worth must not fall from low to production".into());
+        }
+        Ok(tuning)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn defaults_and_errors() {
+        let some = Tuning::parse(
+            "<tallygauge><worth><high>9</high></worth><idle-wait>2.5</idle-wait></tallygauge>",
+        )
+        .unwrap();
+        assert_eq!(
+            (some.worth.high, some.worth.low, some.idle_wait),
+            (9.0, 1.0, 2.5)
+        );
+        assert_eq!(Tuning::parse("<tallygauge/>").unwrap(), Tuning::default());
+        for bad in [
+            "<tallygauge><idel-wait>2</idel-wait></tallygauge>",
+            "<tallygauge><idle-wait>long</idle-wait></tallygauge>",
+            "<tallygauge><idle-wait>-1</idle-wait></tallygauge>",
+            "<tallygauge><late-worth>2</late-worth></tallygauge>",
+            "<tallygauge><worth><high>1</high></worth></tallygauge>",
+        ] {
+            assert!(Tuning::parse(bad).is_err(), "{bad} was taken");
+        }
+    }
+}
--- /dev/null
+++ b/crates/tallygauge/src/users.rs
@@ -0,0 +1,402 @@
+//! The users' interface: submissions, questions, cancellations.
+
+use crate::node::{Known, Node, Query, open_key, over_key};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::{sync::Arc, time::Duration};
+use tallygauge_sched::check_feasible;
+use tallygauge_state::{Class, Error, Outcome};
+use tallygauge_wire::{
+    state::{Guard, Transaction, Write},
+    users::{ErrorBody, JobAnswer, JobSpec, JobStatus, Shape, valid_job_id},
+};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+
+/// Durable record of an open job. It never changes while the job is open.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct OpenRecord {
+    /// As submitted.
+    pub spec: JobSpec,
+    /// Time of day when it was accepted.
+    pub at: f64,
+}
+
+/// Durable record of a job that is over. It stays.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct OverRecord {
+    /// `done` or `cancelled`.
+    pub status: JobStatus,
+    /// Tasks done.
+    pub done: u32,
+    /// Kept of a cancelled job, since its tasks may still be on machines.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spec: Option<JobSpec>,
+}
+
+/// An answer to a user.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Reply {
+    /// About a job, with the status code.
+    Job(u16, JobAnswer),
+    /// Refused for good: 400, 404, 422.
+    No(u16, String),
+    /// Can't be known or done now; come back after so many seconds.
+    Later(String, u64),
+}
+
+impl Reply {
+    /// Status code.
+    #[must_use]
+    pub fn status(&self) -> u16 {
+        match self {
+            Reply::Job(status, _) | Reply::No(status, _) => *status,
+            Reply::Later(..) => 503,
+        }
+    }
+
+    /// Body.
+    #[must_use]
+    pub fn body(&self) -> Vec<u8> {
+        let body = match self {
+            Reply::Job(_, answer) => serde_json::to_vec(answer),
+            Reply::No(_, error) | Reply::Later(error, _) => serde_json::to_vec(&ErrorBody {
+                error: error.clone(),
+            }),
+        };
+        body.unwrap_or_default()
+    }
+}
+
+/// What the state service says of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Found {
+    Unknown,
+    Open,
+    Over(JobStatus, u32),
+}
+
+fn later() -> Reply {
+    Reply::Later("the state of the job can't be told now".into(), 1)
+}
+
+fn answer(id: &str, status: JobStatus) -> JobAnswer {
+    JobAnswer {
+        id: id.to_string(),
+        status,
+        done: None,
+        running: None,
+    }
+}
+
+/// Compares versions at the state service, for many askers at a time.
+pub async fn answer_queries(node: Arc<Node>, mut questions: mpsc::Receiver<Query>) {
+    let most = node.settings.deployment.state.txn_ops * 4;
+    let turns = Arc::new(Semaphore::new(3));
+    while let Some(first) = questions.recv().await {
+        let Ok(turn) = turns.clone().acquire_owned().await else {
+            return;
+        };
+        // Whoever asks within these few milliseconds shares the request.
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        let mut count = first.guards.len();
+        let mut batch = vec![first];
+        while count + 2 <= most {
+            match questions.try_recv() {
+                Ok(query) => {
+                    count += query.guards.len();
+                    batch.push(query);
+                }
+                Err(_) => break,
+            }
+        }
+        let node = node.clone();
+        tokio::spawn(async move {
+            compare(&node, batch).await;
+            drop(turn);
+        });
+    }
+}
+
+async fn compare(node: &Node, batch: Vec<Query>) {
+    let mut guards: Vec<Guard> = Vec::new();
+    for guard in batch.iter().flat_map(|q| &q.guards) {
+        if !guards.contains(guard) {
+            guards.push(guard.clone());
+        }
+    }
+    let mut failed: Vec<String> = Vec::new();
+    let mut known = true;
+    // A conflict names keys that failed, perhaps not all: the rest is asked
+    // again until it holds.
+    while !guards.is_empty() {
+        let txn = Transaction {
+            guards: guards.clone(),
+            writes: Vec::new(),
+        };
+        match node.state.transact(Class::Users, &txn).await {
+            Ok(Outcome::Made(_)) => break,
+            Ok(Outcome::Conflict(keys)) if !keys.is_empty() => {
+                guards.retain(|g| !keys.contains(&g.key));
+                failed.extend(keys);
+            }
+            _ => {
+                known = false;
+                break;
+            }
+        }
+    }
+    for query in batch {
+        let verdict = known.then(|| {
+            query
+                .guards
+                .iter()
+                .map(|g| !failed.contains(&g.key))
+                .collect()
+        });
+        let _ = query.reply.send(verdict);
+    }
+}
+
+async fn ask(node: &Node, guards: Vec<Guard>) -> Option<Vec<bool>> {
+    let (reply, answer) = oneshot::channel();
+    node.queries.try_send(Query { guards, reply }).ok()?;
+    answer.await.ok()?
+}
+
+/// What is true of a job now; `None` if that can't be known.
+async fn lookup(node: &Node, id: &str) -> Option<Found> {
+    let guard = |key: String, version| Guard { key, version };
+    for _ in 0..3 {
+        let known = node.lock(&node.jobs).get(id);
+        match known {
+            Some(Known::Over(status, done)) => return Some(Found::Over(status, done)),
+            Some(Known::Open(version)) if version != u64::MAX => {
+                if ask(node, vec![guard(open_key(id), version)]).await?[0] {
+                    return Some(Found::Open);
+                }
+                node.lock(&node.jobs).forget_open(id, version);
+            }
+            _ => {
+                let verdict =
+                    ask(node, vec![guard(open_key(id), 0), guard(over_key(id), 0)]).await?;
+                if verdict[0] && verdict[1] {
+                    return Some(Found::Unknown);
+                }
+                if !verdict[0]
+                    && let Some(row) = node.state.get(Class::Users, &open_key(id)).await.ok()?
+                {
+                    node.lock(&node.jobs).put(id, Known::Open(row.version));
+                    return Some(Found::Open);
+                }
+                if let Some(row) = node.state.get(Class::Users, &over_key(id)).await.ok()? {
+                    let record: OverRecord = serde_json::from_value(row.value).ok()?;
+                    node.lock(&node.jobs)
+                        .put(id, Known::Over(record.status, record.done));
+                }
+            }
+        }
+    }
+    None
+}
+
+fn found(node: &Node, id: &str, found: Found) -> Option<JobAnswer> {
+    let (status, done, running) = match found {
+        Found::Unknown => return None,
+        Found::Over(status, done) => (status, done, 0),
+        Found::Open => {
+            let own = node.with_cluster(|c| c.counts(id)).flatten();
+            let (done, running) = own.unwrap_or_else(|| {
+                let mut counts = node.lock(&node.counts);
+                counts.asked.insert(id.to_string());
+                counts.known.get(id).map_or((0, 0), |c| (c.0, c.1))
+            });
+            let status = if running > 0 {
+                JobStatus::Running
+            } else {
+                JobStatus::Pending
+            };
+            (status, done, running)
+        }
+    };
+    Some(JobAnswer {
+        done: Some(done),
+        running: Some(running),
+        ..answer(id, status)
+    })
+}
+
+/// `GET /work/{id}`
+pub async fn status(node: &Node, id: &str) -> Reply {
+    if !valid_job_id(id) {
+        return Reply::No(404, "no such job".into());
+    }
+    match lookup(node, id).await {
+        None => later(),
+        Some(what) => match found(node, id, what) {
+            Some(answer) => Reply::Job(200, answer),
+            None => Reply::No(404, "no such job".into()),
+        },
+    }
+}
+
+/// `POST /work`
+pub async fn submit(node: &Node, body: &[u8]) -> Reply {
+    let value: Value = match serde_json::from_slice(body) {
+        Ok(value) => value,
+        Err(error) => return Reply::No(400, format!("not JSON: {error}")),
+    };
+    let Some(object) = value.as_object() else {
+        return Reply::No(400, "not a JSON object".into());
+    };
+    let id = match object.get("nameId").and_then(Value::as_str) {
+        Some(id) if valid_job_id(id) => id.to_string(),
+        _ => return Reply::No(400, "nameId must be 'req-' followed by digits".into()),
+    };
+    // A known job is answered for before anything else is looked at.
+    if node.lock(&node.jobs).get(&id).is_some() {
+        match repeat(node, &id).await {
+            Ok(Some(reply)) | Err(reply) => return reply,
+            Ok(None) => {}
+        }
+    }
+    let refusal = match serde_json::from_value::<JobSpec>(value) {
+        Err(error) => Err((400, error.to_string())),
+        Ok(spec) => match spec.check() {
+            Err(error) => Err((400, error)),
+            Ok(()) => {
+                let types = node.lock(&node.catalogue).clone();
+                match types {
+                    None => {
+                        return match repeat(node, &id).await {
+                            Ok(Some(reply)) => reply,
+                            _ => Reply::Later("the machine types are not known yet".into(), 1),
+                        };
+                    }
+                    Some(types) => check_feasible(&spec, &node.settings.teams(), &types)
+                        .map(|()| spec)
+                        .map_err(|error| (422, error)),
+                }
+            }
+        },
+    };
+    match refusal {
+        Err((status, error)) => match repeat(node, &id).await {
+            Ok(Some(reply)) | Err(reply) => reply,
+            Ok(None) => Reply::No(status, error),
+        },
+        Ok(spec) => accept(node, &id, spec).await,
+    }
+}
+
+async fn repeat(node: &Node, id: &str) -> Result<Option<Reply>, Reply> {
+    match lookup(node, id).await {
+        None => Err(later()),
+        Some(what) => Ok(found(node, id, what).map(|a| Reply::Job(200, answer(id, a.status)))),
+    }
+}
+
+async fn accept(node: &Node, id: &str, spec: JobSpec) -> Reply {
+    let record = OpenRecord {
+        spec,
+        at: Node::time_of_day(),
+    };
+    let Ok(value) = serde_json::to_value(&record) else {
+        return Reply::No(400, "the submission can't be kept".into());
+    };
+    if value.to_string().len() as f64 > node.settings.deployment.state.value_kb * 1024.0 * 0.9 {
+        return Reply::No(400, "the submission is too long to be kept".into());
+    }
+    let guard = |key| Guard { key, version: 0 };
+    let txn = Transaction {
+        guards: vec![guard(open_key(id)), guard(over_key(id))],
+        writes: vec![Write::Set {
+            key: open_key(id),
+            value,
+            lease: None,
+        }],
+    };
+    // The conditions make it safe to try again when no answer came.
+    for _ in 0..2 {
+        match node.state.transact(Class::Users, &txn).await {
+            Ok(Outcome::Made(version)) => {
+                node.lock(&node.jobs).put(id, Known::Open(version));
+                return Reply::Job(201, answer(id, JobStatus::Pending));
+            }
+            Ok(Outcome::Conflict(_)) => {
+                return match repeat(node, id).await {
+                    Ok(Some(reply)) | Err(reply) => reply,
+                    Ok(None) => later(),
+                };
+            }
+            Ok(Outcome::NoLease) | Err(Error::Refused) => break,
+            Err(Error::Unknown) => {}
+        }
+    }
+    Reply::Later("the job can't be kept now".into(), 1)
+}
+
+/// `POST /work/{id}/abort`
+pub async fn cancel(node: &Node, id: &str) -> Reply {
+    if !valid_job_id(id) {
+        return Reply::No(404, "no such job".into());
+    }
+    for _ in 0..3 {
+        match lookup(node, id).await {
+            None => return later(),
+            Some(Found::Unknown) => return Reply::No(404, "no such job".into()),
+            Some(Found::Over(status, _)) => return Reply::Job(200, answer(id, status)),
+            Some(Found::Open) => {}
+        }
+        let row = match node.state.get(Class::Users, &open_key(id)).await {
+            Ok(Some(row)) => row,
+            Ok(None) => continue,
+            Err(_) => return later(),
+        };
+        let Ok(record) = serde_json::from_value::<OpenRecord>(row.value) else {
+            return later();
+        };
+        let done = node
+            .with_cluster(|c| c.counts(id))
+            .flatten()
+            .map_or(0, |c| c.0);
+        let over = OverRecord {
+            status: JobStatus::Cancelled,
+            done: if record.spec.shape == Shape::Service {
+                0
+            } else {
+                done
+            },
+            spec: Some(record.spec),
+        };
+        let Ok(value) = serde_json::to_value(&over) else {
+            return later();
+        };
+        let txn = Transaction {
+            guards: vec![Guard {
+                key: open_key(id),
+                version: row.version,
+            }],
+            writes: vec![
+                Write::Remove { key: open_key(id) },
+                Write::Set {
+                    key: over_key(id),
+                    value,
+                    lease: None,
+                },
+            ],
+        };
+        match node.state.transact(Class::Users, &txn).await {
+            Ok(Outcome::Made(_)) => {
+                node.lock(&node.jobs)
+                    .put(id, Known::Over(JobStatus::Cancelled, over.done));
+                let now = node.now();
+                node.with_cluster(|c| c.remove_job(id, now));
+                node.wake.notify_one();
+                return Reply::Job(200, answer(id, JobStatus::Cancelled));
+            }
+            Ok(_) | Err(Error::Unknown) => {}
+            Err(Error::Refused) => return later(),
+        }
+    }
+    later()
+}
--- /dev/null
+++ b/crates/tallygauge/src/workers.rs
@@ -0,0 +1,149 @@
+//! Dealings with workers: check-ins and direct commands.
+
+use crate::node::Node;
+use std::{sync::Arc, time::Duration};
+use tallygauge_sched::{DirectMessage, Verdict};
+use tallygauge_state::http::NoAnswer;
+use tallygauge_wire::workers::{DirectCommands, Redirect, Report, ReportAnswer};
+
+/// An answer to a check-in.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CheckIn {
+    /// 200.
+    Take(ReportAnswer),
+    /// 421, with the leader if known.
+    Elsewhere(Redirect),
+    /// 503.
+    NotNow,
+    /// 400.
+    Malformed(String),
+}
+
+/// `POST /checkin`
+pub fn check_in(node: &Node, body: &[u8]) -> CheckIn {
+    let report: Report = match serde_json::from_slice(body) {
+        Ok(report) => report,
+        Err(error) => {
+            tracing::warn!(%error, "malformed check-in");
+            return CheckIn::Malformed(error.to_string());
+        }
+    };
+    let now = node.now();
+    let fence = node.fence_s();
+    let mut deposed = None;
+    let answer = {
+        let mut lead = node.lock(&node.lead);
+        match lead.as_mut() {
+            None => None,
+            Some(lead) if report.token > lead.term => {
+                deposed = Some(report.token);
+                None
+            }
+            // Unconfirmed for too long: whoever leads now may have cancelled
+            // or placed what these workers run.
+            Some(lead) if now - lead.confirmed.min(lead.watched) > fence => {
+                return CheckIn::NotNow;
+            }
+            Some(lead) => {
+                let term = lead.term;
+                lead.answered += 1;
+                let commands = match lead.cluster.as_mut() {
+                    None => Vec::new(),
+                    Some(cluster) => {
+                        if cluster.on_report(now, &report) == Verdict::Dead {
+                            return CheckIn::NotNow;
+                        }
+                        let commands = cluster.commands(&report.machine, now);
+                        cluster.sent(&report.machine, &commands);
+                        cluster.answered(&report.machine, now);
+                        commands
+                    }
+                };
+                Some(ReportAnswer {
+                    token: term,
+                    commands,
+                })
+            }
+        }
+    };
+    if let Some(term) = deposed {
+        node.hear_of(term, None);
+    }
+    match answer {
+        Some(answer) => {
+            node.wake.notify_one();
+            CheckIn::Take(answer)
+        }
+        None => {
+            let leader = node.lock(&node.role).leader.clone();
+            match leader {
+                Some(name) if name != node.settings.node_name => CheckIn::Elsewhere(Redirect {
+                    report_to: Some(name),
+                }),
+                _ => CheckIn::NotNow,
+            }
+        }
+    }
+}
+
+/// Sends all direct messages that are due, each in a task of its own; a worker
+/// has one under way at most, so their number is bounded.
+pub fn dispatch(node: &Arc<Node>) {
+    let now = node.now();
+    let (term, messages) = {
+        let mut lead = node.lock(&node.lead);
+        let Some(lead) = lead.as_mut() else { return };
+        let term = lead.term;
+        let Some(cluster) = lead.cluster.as_mut() else {
+            return;
+        };
+        (term, cluster.direct_messages(now))
+    };
+    for message in messages {
+        let node = node.clone();
+        tokio::spawn(async move { deliver(&node, term, message).await });
+    }
+}
+
+async fn deliver(node: &Node, term: u64, message: DirectMessage) {
+    let body = DirectCommands {
+        token: term,
+        session: message.session,
+        commands: message.commands.clone(),
+    };
+    let url = format!("http://{}/orders", message.endpoint);
+    let timeout = Duration::from_secs_f64(node.settings.deployment.workers.lease_s / 6.0);
+    let result = node
+        .http
+        .call(warp::http::Method::POST, &url, Some(&body), timeout)
+        .await;
+    let report = match &result {
+        Ok((status, bytes)) if status.as_u16() == 200 || status.as_u16() == 409 => {
+            serde_json::from_slice::<Report>(bytes).ok()
+        }
+        _ => None,
+    };
+    let now = node.now();
+    let mut deposed = None;
+    {
+        let mut lead = node.lock(&node.lead);
+        let Some(lead) = lead.as_mut().filter(|l| l.term == term) else {
+            return;
+        };
+        let Some(cluster) = lead.cluster.as_mut() else {
+            return;
+        };
+        let never_sent = matches!(result, Err(NoAnswer::NotSent));
+        cluster.direct_done(&message, report.is_some(), never_sent, now);
+        if let Some(report) = &report
+            && report.machine == message.worker
+            && let Verdict::Deposed(term) = cluster.on_report(now, report)
+        {
+            deposed = Some(term);
+        }
+    }
+    if let Some(term) = deposed {
+        node.hear_of(term, None);
+    }
+    node.wake.notify_one();
+}
