--- /dev/null
+++ b/crates/tallygauge-sched/src/commands.rs
@@ -0,0 +1,206 @@
+//! Commands: what a worker should do now, in answers and direct messages.
+
+use crate::{cluster::Cluster, model::*};
+use tallygauge_wire::workers::{Command, TaskState};
+
+/// A direct message to a worker.
+#[derive(Debug, Clone)]
+pub struct DirectMessage {
+    /// Worker.
+    pub worker: String,
+    /// Its address.
+    pub endpoint: String,
+    /// Session it is meant for.
+    pub session: u64,
+    /// Commands; empty to fence only.
+    pub commands: Vec<Command>,
+    /// Attempts whose start is in it.
+    pub starts: Vec<u64>,
+}
+
+impl Cluster {
+    /// Commands that a worker should execute now.
+    #[must_use]
+    pub fn commands(&self, name: &str, now: f64) -> Vec<Command> {
+        let mut out = Vec::new();
+        let Some(worker) = self.workers.get(name) else {
+            return out;
+        };
+        for (task, attempt, ended) in &worker.strays {
+            out.push(if *ended {
+                Command::Clear {
+                    task: task.clone(),
+                    attempt: *attempt,
+                }
+            } else {
+                Command::Stop {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    grace_s: 0.0,
+                }
+            });
+        }
+        for held in worker.held.iter().filter(|h| h.session == worker.session) {
+            let (task, attempt) = (held.task_name(), held.attempt);
+            match (held.phase, held.stop) {
+                (Phase::Recorded, None) if !held.inherited => {
+                    out.push(Command::Start { task, attempt });
+                }
+                (Phase::Recorded | Phase::On(_), Some(stop)) if held.sent => {
+                    let grace_s = grace(held, stop, now);
+                    if held.phase != Phase::On(TaskState::Saving) || grace_s == 0.0 {
+                        out.push(Command::Stop {
+                            task,
+                            attempt,
+                            grace_s,
+                        });
+                    }
+                }
+                (Phase::Ended(_), _) if held.may_clear() => {
+                    out.push(Command::Clear { task, attempt });
+                }
+                _ => {}
+            }
+        }
+        // Room is made before it is used.
+        out.sort_by_key(|c| match c {
+            Command::Clear { .. } => 0,
+            Command::Stop { .. } => 1,
+            Command::Start { .. } => 2,
+        });
+        out
+    }
+
+    /// Notes that starts went out, in the answer to a check-in.
+    pub fn sent(&mut self, name: &str, commands: &[Command]) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        for command in commands {
+            if let Command::Start { attempt, .. } = command {
+                for held in worker.held.iter_mut().filter(|h| h.attempt == *attempt) {
+                    held.sent = true;
+                }
+            }
+        }
+    }
+
+    /// Direct messages that should go out now: fences, starts that were not
+    /// sent yet, and stops. Marks them as under way.
+    pub fn direct_messages(&mut self, now: f64) -> Vec<DirectMessage> {
+        let mut out = Vec::new();
+        for name in std::mem::take(&mut self.attention) {
+            let Some(w) = self.workers.get(&name) else {
+                continue;
+            };
+            if w.endpoint.is_empty() || w.return_sent {
+                continue;
+            }
+            let fence = w.fenced_at.is_none() && (w.up() || !w.held.is_empty());
+            let act = w.fenced_at.is_some()
+                && w.session > w.dead_session
+                && w.held.iter().any(|h| {
+                    h.session == w.session
+                        && match (h.phase, h.stop) {
+                            (Phase::Recorded, None) => !h.sent,
+                            (
+                                Phase::Recorded
+                                | Phase::On(TaskState::Fetching | TaskState::Running),
+                                Some(s),
+                            ) => h.sent && s.at >= w.heard_at,
+                            _ => false,
+                        }
+                });
+            if !fence && !act {
+                continue;
+            }
+            // Those that can't have one now are looked at again.
+            let full = self.direct_under_way >= self.cfg.most_direct;
+            if w.direct_busy || now < w.direct_after || full {
+                self.attention.insert(name);
+                continue;
+            }
+            let commands = if fence {
+                Vec::new()
+            } else {
+                self.commands(&name, now)
+                    .into_iter()
+                    .filter(|c| !matches!(c, Command::Clear { .. }))
+                    .collect()
+            };
+            let Some(worker) = self.workers.get_mut(&name) else {
+                continue;
+            };
+            let mut starts = Vec::new();
+            for command in &commands {
+                if let Command::Start { attempt, .. } = command {
+                    starts.push(*attempt);
+                    for held in worker.held.iter_mut().filter(|h| h.attempt == *attempt) {
+                        held.sent = true;
+                        held.direct_pending += 1;
+                    }
+                }
+            }
+            worker.direct_busy = true;
+            self.direct_under_way += 1;
+            let session = if worker.session > 0 {
+                worker.session
+            } else {
+                worker.held.iter().map(|h| h.session).max().unwrap_or(1)
+            };
+            out.push(DirectMessage {
+                worker: name,
+                endpoint: worker.endpoint.clone(),
+                session,
+                commands,
+                starts,
+            });
+        }
+        out
+    }
+
+    /// A direct message was answered, or given up (`answered` false). When
+    /// given up, its starts may yet be executed. `never_sent` tells that no
+    /// connection came about.
+    pub fn direct_done(
+        &mut self,
+        message: &DirectMessage,
+        answered: bool,
+        never_sent: bool,
+        now: f64,
+    ) {
+        let report_s = self.cfg.report_s;
+        self.direct_under_way = self.direct_under_way.saturating_sub(1);
+        self.attention.insert(message.worker.clone());
+        let Some(worker) = self.workers.get_mut(&message.worker) else {
+            return;
+        };
+        worker.direct_busy = false;
+        if answered {
+            worker.direct_failures = 0;
+        } else {
+            worker.direct_failures += 1;
+            let doublings = worker.direct_failures.min(4) - 1;
+            worker.direct_after = now + report_s * 0.5 * f64::from(1u32 << doublings);
+        }
+        for held in &mut worker.held {
+            if message.starts.contains(&held.attempt) {
+                held.direct_pending = held.direct_pending.saturating_sub(1);
+                held.uncertain |= !answered && !never_sent;
+            }
+        }
+    }
+}
+
+/// Grace that a stop gives: enough to save, or none.
+fn grace(held: &Held, stop: Stop, now: f64) -> f64 {
+    let saves = held.spec.checkpoint_every_s > 0.0;
+    let wanted = !matches!(stop.reason, StopReason::Cancelled | StopReason::Duplicate);
+    // A save that takes many times what was said is ended.
+    let overdue = now - stop.at > held.spec.save_s * 4.0 + 5.0;
+    if saves && wanted && !overdue {
+        held.spec.save_s.max(0.001)
+    } else {
+        0.0
+    }
+}
--- a/crates/tallygauge-sched/src/demand.rs
+++ b/crates/tallygauge-sched/src/demand.rs
@@ -2,7 +2,10 @@
 
 use crate::{cluster::Cluster, mapping::Group, model::*};
 use std::collections::BTreeMap;
-use tallygauge_wire::cloud::{MAX_RENT, MachineType};
+use tallygauge_wire::{
+    cloud::{MAX_RENT, MachineType},
+    users::JobSpec,
+};
 
 /// Type, zone, and whether spot.
 pub type SpotKind = (String, String, bool);
@@ -22,12 +25,44 @@
 /// Part of its slack that waiting work may spend on waiting for room.
 const SLACK_USED: f64 = 0.4;
 
-struct Virtual {
-    machine_type: String,
-    zone: String,
+struct Virtual<'a> {
+    machine_type: &'a str,
+    zone: &'a str,
     spot: bool,
     room: Room,
-    new: bool,
+}
+
+impl Virtual<'_> {
+    /// Lays up to `most` tasks into the room. Returns how many fit.
+    fn take(&mut self, spec: &JobSpec, most: u32) -> u32 {
+        let n = fit(self.room.cpus, spec.cpus)
+            .min(fit(self.room.gpus, spec.gpus))
+            .min(fit(self.room.memory_gb, spec.memory_gb))
+            .min(most);
+        self.room.add(spec, -f64::from(n));
+        n
+    }
+}
+
+/// What a look at demand works with.
+struct Market<'a> {
+    /// Rooms that waiting tasks are laid into.
+    rooms: Vec<Virtual<'a>>,
+    /// Machines in each zone.
+    by_zone: BTreeMap<&'a str, usize>,
+    /// Machines that are wanted.
+    new: BTreeMap<(&'a str, &'a str, bool), u32>,
+    /// CPUs and GPUs that each team's limit leaves.
+    headroom: Vec<(f64, f64)>,
+}
+
+/// How many times `need` goes into what there is.
+fn fit(have: f64, need: f64) -> u32 {
+    if need > 0.0 {
+        ((have + EPS) / need).max(0.0) as u32
+    } else {
+        u32::MAX
+    }
 }
 
 impl Cluster {
@@ -46,120 +81,141 @@
     }
 
     /// Machines to ask for now, for waiting tasks that neither free room nor
-    /// machines on their way will take.
+    /// machines on their way will take; of one kind as many as one request may
+    /// ask for, and the kind that is wanted most first.
     #[must_use]
     pub fn rentals(&self, now: f64) -> Vec<Rental> {
-        let mut groups = self.groups(now);
+        let (mut groups, _) = self.groups(now);
         if groups.is_empty() {
             return Vec::new();
         }
         let within = self.within_guarantee();
-        let mut virtuals: Vec<Virtual> = self
-            .workers
-            .values()
-            .filter(|w| w.leaving.is_none() && w.notice_until.is_none())
-            .filter_map(|w| {
-                let t = self.types.get(&w.machine_type)?;
-                // One that takes much longer than usual to boot is not
-                // counted on; one that is up but busy has no room.
-                let coming = !w.up() && now - w.rented_at < t.boot_s * 1.7;
-                let quiet = w.up() && now - w.heard_at < self.cfg.lease_s;
-                (coming || quiet).then(|| Virtual {
-                    machine_type: w.machine_type.clone(),
-                    zone: w.zone.clone(),
+        let smallest = groups
+            .iter()
+            .map(|g| g.job.spec.cpus)
+            .fold(f64::MAX, f64::min);
+        let mut market = Market {
+            rooms: Vec::new(),
+            by_zone: BTreeMap::new(),
+            new: BTreeMap::new(),
+            headroom: self
+                .cfg
+                .teams
+                .iter()
+                .zip(&self.ledgers)
+                .map(|(t, l)| (t.cpus_max - l.cpus, t.gpus_max - l.gpus))
+                .collect(),
+        };
+        for w in self.workers.values() {
+            *market.by_zone.entry(&w.zone).or_default() += 1;
+            let Some(t) = self.types.get(&w.machine_type) else {
+                continue;
+            };
+            // One that takes much longer than usual to boot is not counted on;
+            // one that is up but busy has no room.
+            let coming = !w.up() && now - w.rented_at < t.boot_s * 1.7;
+            let quiet = w.up() && now - w.heard_at < self.cfg.lease_s;
+            let stays = w.leaving.is_none() && w.notice_until.is_none();
+            if stays && (coming || quiet) && w.free.cpus + EPS >= smallest {
+                market.rooms.push(Virtual {
+                    machine_type: &w.machine_type,
+                    zone: &w.zone,
                     spot: w.spot,
                     room: w.free,
-                    new: false,
-                })
-            })
-            .collect();
-        let mut headroom: Vec<(f64, f64)> = self
-            .cfg
-            .teams
-            .iter()
-            .zip(&self.ledgers)
-            .map(|(t, l)| (t.cpus_max - l.cpus, t.gpus_max - l.gpus))
-            .collect();
+                });
+            }
+        }
         groups.sort_by(|a, b| {
-            let (x, y) = (&self.jobs[&a.job], &self.jobs[&b.job]);
             within
-                .contains(&b.job)
-                .cmp(&within.contains(&a.job))
-                .then(y.spec.priority.cmp(&x.spec.priority))
-                .then(x.accepted_at.total_cmp(&y.accepted_at))
+                .contains(b.job.spec.id.as_str())
+                .cmp(&within.contains(a.job.spec.id.as_str()))
+                .then(b.job.spec.priority.cmp(&a.job.spec.priority))
+                .then(a.job.accepted_at.total_cmp(&b.job.accepted_at))
         });
         for group in groups {
-            self.fill(&group, now, &mut virtuals, &mut headroom);
-        }
-        let mut counts: BTreeMap<SpotKind, u32> = BTreeMap::new();
-        for v in virtuals.into_iter().filter(|v| v.new) {
-            *counts.entry((v.machine_type, v.zone, v.spot)).or_default() += 1;
+            self.fill(&group, now, &mut market);
+            market.rooms.retain(|v| v.room.cpus + EPS >= smallest);
+            if market.new.values().any(|n| *n >= MAX_RENT) {
+                break;
+            }
         }
-        counts
+        let mut out: Vec<Rental> = market
+            .new
             .into_iter()
-            .map(|(kind, count)| Rental {
-                kind,
+            .map(|((machine_type, zone, spot), count)| Rental {
+                kind: (machine_type.to_string(), zone.to_string(), spot),
                 count: count.min(MAX_RENT),
             })
-            .collect()
+            .collect();
+        out.sort_by_key(|r| std::cmp::Reverse(r.count));
+        out
     }
 
-    fn fill(
-        &self,
-        group: &Group,
-        now: f64,
-        virtuals: &mut Vec<Virtual>,
-        headroom: &mut [(f64, f64)],
-    ) {
-        let job = &self.jobs[&group.job];
+    /// Lays the tasks of a group into rooms, and asks for machines for those
+    /// that are left.
+    fn fill<'a>(&'a self, group: &Group<'a>, now: f64, market: &mut Market<'a>) {
+        let job = group.job;
         let spec = &job.spec;
         let count = if group.resume.is_some() {
             1
         } else {
             job.waiting.len()
         };
-        let saved = group.resume.as_ref().map_or(0.0, |r| r.saved_s);
+        let saved = group.resume.map_or(0.0, |r| r.saved_s);
         let run = self.remaining(job, saved);
-        let mut new_for = 0.0;
-        for _ in 0..count {
-            let room = &mut headroom[job.team];
-            if spec.cpus > room.0 + EPS || spec.gpus > room.1 + EPS {
+        let room = &mut market.headroom[job.team];
+        let allowed = fit(room.0, spec.cpus).min(fit(room.1, spec.gpus));
+        let mut left = count.min(allowed);
+        room.0 -= spec.cpus * f64::from(left);
+        room.1 -= spec.gpus * f64::from(left);
+        let mut any_allowed = false;
+        for v in &mut market.rooms {
+            if left == 0 {
                 return;
             }
-            room.0 -= spec.cpus;
-            room.1 -= spec.gpus;
-            let fitting = virtuals.iter_mut().find(|v| {
-                v.room.holds(spec) && self.kind_allowed(job, &v.machine_type, &v.zone, v.spot)
-            });
-            if let Some(v) = fitting {
-                v.room.add(spec, -1.0);
+            if !self.kind_allowed(job, v.machine_type, v.zone, v.spot) {
                 continue;
             }
-            let Some((t, zone, spot)) = self.best_kind(job, count, now) else {
+            any_allowed = true;
+            left -= v.take(spec, left);
+        }
+        let mut new_for: f64 = 0.0;
+        while left > 0 {
+            let Some((t, zone, spot)) = self.best_kind(job, count, now, &market.by_zone) else {
                 return;
             };
             // Tasks that are short against a boot, or that can wait, follow one
             // another on the same room.
             let horizon =
                 (t.boot_s * self.cfg.horizon_boots).max(SLACK_USED * self.slack(job, run, now));
-            new_for += (run / horizon).min(1.0);
-            if new_for < 1.0
-                && virtuals
-                    .iter()
-                    .any(|v| self.kind_allowed(job, &v.machine_type, &v.zone, v.spot))
-            {
-                continue;
+            let each = (run / horizon).min(1.0);
+            if any_allowed {
+                let wait = ((1.0 - new_for) / each).ceil().max(1.0);
+                if wait > f64::from(left) {
+                    return;
+                }
+                new_for = (new_for + wait * each - 1.0).max(0.0);
+                left -= wait as u32;
+            } else {
+                new_for = (new_for + each - 1.0).max(0.0);
+                left -= 1;
             }
-            new_for = (new_for - 1.0).max(0.0);
-            let mut room = Room::of_type(t);
-            room.add(spec, -1.0);
-            virtuals.push(Virtual {
-                machine_type: t.name.clone(),
-                zone: zone.clone(),
+            any_allowed = true;
+            let mut v = Virtual {
+                machine_type: &t.name,
+                zone,
                 spot,
-                room,
-                new: true,
-            });
+                room: Room::of_type(t),
+            };
+            v.room.add(spec, -1.0);
+            left -= v.take(spec, left);
+            market.rooms.push(v);
+            *market.by_zone.entry(zone).or_default() += 1;
+            let new = market.new.entry((&t.name, zone, spot)).or_default();
+            *new += 1;
+            if *new >= MAX_RENT {
+                return;
+            }
         }
     }
 
@@ -179,7 +235,13 @@
     }
 
     /// The kind of machine that serves the job's tasks at the least price.
-    fn best_kind(&self, job: &Job, count: u32, now: f64) -> Option<(&MachineType, &String, bool)> {
+    fn best_kind(
+        &self,
+        job: &Job,
+        count: u32,
+        now: f64,
+        by_zone: &BTreeMap<&str, usize>,
+    ) -> Option<(&MachineType, &String, bool)> {
         let spec = &job.spec;
         let mut best: Option<(f64, (&MachineType, &String, bool))> = None;
         let mut types: Vec<&MachineType> = self.types.values().collect();
@@ -188,18 +250,13 @@
             if !Room::of_type(t).holds(spec) {
                 continue;
             }
-            let per = |have: f64, need: f64| {
-                if need > 0.0 {
-                    (have / need).floor()
-                } else {
-                    f64::MAX
-                }
-            };
-            let slots = per(t.cpus + EPS, spec.cpus)
-                .min(per(t.gpus + EPS, spec.gpus))
-                .min(per(t.memory_gb + EPS, spec.memory_gb))
-                .min(f64::from(count))
-                .max(1.0);
+            let slots = f64::from(
+                fit(t.cpus, spec.cpus)
+                    .min(fit(t.gpus, spec.gpus))
+                    .min(fit(t.memory_gb, spec.memory_gb))
+                    .min(count),
+            )
+            .max(1.0);
             for zone in &t.zones {
                 for spot in [true, false] {
                     if !self.kind_allowed(job, &t.name, zone, spot) {
@@ -219,7 +276,7 @@
                     let run = spec.expected_s.max(self.cfg.floor_s);
                     let cost = price * (t.boot_s + fetch + run) / slots;
                     // Where several zones cost the same, they take turns.
-                    let there = self.workers.values().filter(|w| &w.zone == zone).count();
+                    let there = by_zone.get(zone.as_str()).copied().unwrap_or(0);
                     let cost = cost * (1.0 + there as f64 * 1e-4);
                     if best.as_ref().is_none_or(|b| cost < b.0) {
                         best = Some((cost, (t, zone, spot)));
--- a/crates/tallygauge-sched/src/lib.rs
+++ b/crates/tallygauge-sched/src/lib.rs
@@ -5,14 +5,26 @@
 //! to make durable, commands, machines to rent or return.
 
 mod cluster;
+mod commands;
 mod demand;
+mod ledgers;
+mod machines;
 mod mapping;
 mod model;
+mod pages;
+mod placements;
+mod progress;
 mod ranges;
+mod reports;
 #[cfg(test)]
 mod tests;
 
-pub use cluster::{Cluster, DirectMessage, Finish, PlacementWrite, Source, Verdict};
+pub use cluster::Cluster;
+pub use commands::DirectMessage;
 pub use demand::{Rental, SpotKind};
 pub use model::*;
+pub use pages::{PageFlush, PageRecord, PageWrite, Pages, Part};
+pub use placements::Batch;
+pub use progress::{Completion, Flush};
 pub use ranges::RangeSet;
+pub use reports::{Source, Verdict};
--- a/crates/tallygauge-sched/src/mapping.rs
+++ b/crates/tallygauge-sched/src/mapping.rs
@@ -1,26 +1,38 @@
 //! Max UPT Preempt Greedy: which waiting task starts where, and what is
 //! stopped for it.
+//!
+//! A round is worked out on the picture as it stands, with what it changes kept
+//! beside it, and taken up at its end. Every job looks at the machines once; then
+//! a heap of spots for each machine type answers for its next task, and only the
+//! machines that the round has touched since are looked at again.
 
-use crate::{cluster::Cluster, model::*};
+use crate::{
+    cluster::{Cluster, Ledger},
+    model::*,
+};
 use std::{
+    borrow::Cow,
     cmp::Ordering,
-    collections::{BTreeMap, BinaryHeap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet},
+};
+use tallygauge_wire::{
+    cloud::MachineType,
+    users::{Priority, Shape},
+    workers::TaskState,
 };
-use tallygauge_wire::{users::Shape, workers::TaskState};
 
 /// Tasks of one job that are alike to the mapping.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) struct Group {
-    pub(crate) job: String,
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Group<'a> {
+    pub(crate) job: &'a Job,
     /// One task with something of its own; `None`: those that have nothing.
-    pub(crate) resume: Option<Resume>,
+    pub(crate) resume: Option<&'a Resume>,
 }
 
 /// A group with the UPT that its next task may reach.
-#[derive(Debug, Clone)]
-struct Candidate {
+struct Candidate<'a> {
     rank: Rank,
-    group: Group,
+    group: Group<'a>,
 }
 
 /// What comes first: work within its guarantee, then UPT, then age.
@@ -48,39 +60,88 @@
     }
 }
 
-impl Candidate {
+impl Candidate<'_> {
     fn key(&self) -> (Rank, std::cmp::Reverse<(&str, u32)>) {
-        let index = self.group.resume.as_ref().map_or(u32::MAX, |r| r.index);
-        (self.rank, std::cmp::Reverse((&self.group.job, index)))
+        let index = self.group.resume.map_or(u32::MAX, |r| r.index);
+        (
+            self.rank,
+            std::cmp::Reverse((self.group.job.spec.id.as_str(), index)),
+        )
     }
 }
 
-impl PartialEq for Candidate {
+impl PartialEq for Candidate<'_> {
     fn eq(&self, other: &Self) -> bool {
         self.key() == other.key()
     }
 }
 
-impl Eq for Candidate {}
+impl Eq for Candidate<'_> {}
 
-impl PartialOrd for Candidate {
+impl PartialOrd for Candidate<'_> {
     fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
         Some(self.cmp(other))
     }
 }
 
-impl Ord for Candidate {
+impl Ord for Candidate<'_> {
     fn cmp(&self, other: &Self) -> Ordering {
         self.key().cmp(&other.key())
     }
 }
 
-/// Where a task could go, best first by `score`.
-#[derive(Debug, Clone, PartialEq)]
-struct Spot {
-    worker: String,
-    upt: f64,
-    score: f64,
+/// A number that orders entries, least first in a heap, with where it leads.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Entry {
+    cost: f64,
+    slot: usize,
+    /// The slot's count of changes when this was worked out.
+    version: u32,
+}
+
+impl Eq for Entry {}
+
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other
+            .cost
+            .total_cmp(&self.cost)
+            .then(other.slot.cmp(&self.slot))
+            .then(other.version.cmp(&self.version))
+    }
+}
+
+/// A usable worker during a round.
+struct Slot<'a> {
+    worker: &'a Worker,
+    of_type: usize,
+    room: Room,
+    /// The room there will be when all stops are confirmed.
+    soon: Room,
+    tasks: usize,
+    images: Cow<'a, Images>,
+    version: u32,
+    /// What may be stopped, least UPT first.
+    victims: Vec<(f64, &'a Held, usize)>,
+}
+
+/// A job's spots, best first, by machine type.
+struct Finder {
+    heaps: Vec<BinaryHeap<Entry>>,
+    /// How much of the round's log it has taken up.
+    seen: usize,
+}
+
+struct Start<'a> {
+    group: Group<'a>,
+    index: u32,
+    slot: usize,
 }
 
 impl Cluster {
@@ -134,46 +195,38 @@
         }
     }
 
-    /// Time until a task of the group ends on a worker, were it started now.
-    pub(crate) fn time_on(&self, job: &Job, group: &Group, worker: &Worker, now: f64) -> f64 {
-        let saved = group
-            .resume
-            .as_ref()
-            .filter(|r| r.machine_type.as_ref() == Some(&worker.machine_type))
-            .map_or(0.0, |r| r.saved_s);
+    /// Time until a task of the group ends on a worker that has these images,
+    /// were it started now.
+    pub(crate) fn time_on(&self, group: &Group, worker: &Worker, images: &Images, now: f64) -> f64 {
         let rate = self
             .types
             .get(&worker.machine_type)
             .map_or(f64::MAX, |t| t.fetch_gb_per_s);
-        let fetch = worker.fetch_s(&job.spec.image, job.spec.image_gb, rate, now);
-        fetch + self.remaining(job, saved)
+        let spec = &group.job.spec;
+        let fetch = images.fetch_s(&spec.image, spec.image_gb, rate, now);
+        fetch + self.remaining(group.job, group.saved_on(&worker.machine_type))
     }
 
-    /// Whether a task of the group may be on the worker at all.
-    pub(crate) fn allowed(&self, job: &Job, group: &Group, worker: &Worker) -> bool {
-        let spec = &job.spec;
+    /// Whether a task of the group may be on the worker at all, given where the
+    /// job's other tasks are.
+    pub(crate) fn allowed(
+        &self,
+        group: &Group,
+        worker: &Worker,
+        zones: &BTreeMap<String, u32>,
+    ) -> bool {
+        let spec = &group.job.spec;
         (spec.spot || !worker.spot)
             && spec
                 .types
                 .as_ref()
                 .is_none_or(|t| t.contains(&worker.machine_type))
-            && job.zone_allowed(&worker.zone)
-            && group
-                .resume
-                .as_ref()
-                .is_none_or(|r| r.avoid.as_ref() != Some(&worker.name))
-    }
-
-    /// Whether the team's limit leaves room for another task of the job.
-    pub(crate) fn under_limit(&self, job: &Job) -> bool {
-        let (team, used) = (&self.cfg.teams[job.team], &self.ledgers[job.team]);
-        used.cpus + job.spec.cpus <= team.cpus_max + EPS
-            && used.gpus + job.spec.gpus <= team.gpus_max + EPS
+            && group.job.zone_allowed_beside(&worker.zone, zones)
     }
 
     /// Jobs that fit into their team's guarantee together with the team's
     /// earlier unfinished jobs.
-    pub(crate) fn within_guarantee(&self) -> HashSet<String> {
+    pub(crate) fn within_guarantee(&self) -> HashSet<&str> {
         let mut jobs: Vec<&Job> = self.jobs.values().collect();
         jobs.sort_by(|a, b| a.accepted_at.total_cmp(&b.accepted_at));
         let mut sums = vec![(0.0, 0.0); self.cfg.teams.len()];
@@ -185,52 +238,35 @@
             sum.0 += job.spec.cpus * count;
             sum.1 += job.spec.gpus * count;
             if sum.0 <= team.cpus + EPS && sum.1 <= team.gpus + EPS {
-                within.insert(job.spec.id.clone());
+                within.insert(job.spec.id.as_str());
             }
         }
         within
     }
 
-    /// All groups that wait and may start now.
-    pub(crate) fn groups(&self, now: f64) -> Vec<Group> {
-        let mut out = Vec::new();
+    /// All groups that wait and may start now, and when the next backoff ends.
+    pub(crate) fn groups(&self, now: f64) -> (Vec<Group<'_>>, Option<f64>) {
+        let (mut out, mut wake) = (Vec::new(), None::<f64>);
         for job in self.jobs.values() {
             if !job.waiting.is_empty() {
-                out.push(Group {
-                    job: job.spec.id.clone(),
-                    resume: None,
-                });
+                out.push(Group { job, resume: None });
             }
-            for resume in job.resumes.iter().filter(|r| r.not_before <= now) {
-                out.push(Group {
-                    job: job.spec.id.clone(),
-                    resume: Some(resume.clone()),
-                });
+            for resume in job.resumes.values() {
+                if resume.not_before <= now {
+                    let resume = Some(resume);
+                    out.push(Group { job, resume });
+                } else {
+                    wake = Some(wake.map_or(resume.not_before, |w| w.min(resume.not_before)));
+                }
             }
         }
-        out
+        (out, wake)
     }
 
-    /// Earliest time at which a task's backoff ends.
+    /// Earliest time at which a task's backoff ends, as the last round met it.
     #[must_use]
-    pub fn next_wake(&self, now: f64) -> Option<f64> {
-        self.jobs
-            .values()
-            .flat_map(|j| j.resumes.iter())
-            .map(|r| r.not_before)
-            .filter(|t| *t > now)
-            .min_by(f64::total_cmp)
-    }
-
-    fn best_possible(&self, group: &Group, within: &HashSet<String>, now: f64) -> Rank {
-        let job = &self.jobs[&group.job];
-        let saved = group.resume.as_ref().map_or(0.0, |r| r.saved_s);
-        let left = self.remaining(job, saved);
-        Rank {
-            within: within.contains(&group.job),
-            upt: self.worth(job, now + left * 0.5) / left,
-            accepted_at: job.accepted_at,
-        }
+    pub fn next_wake(&self) -> Option<f64> {
+        self.wake_at
     }
 
     /// What counts between workers that are about as good, in seconds: small
@@ -240,265 +276,526 @@
         self.cfg.floor_s * 0.5 * (size + free) / (2.0 * largest)
     }
 
-    /// The best worker with free room for a task of the group.
-    fn best_spot(
-        &self,
-        job: &Job,
-        group: &Group,
-        now: f64,
-        free: &BTreeMap<String, Room>,
-    ) -> Option<Spot> {
-        let largest = self.types.values().map(|t| t.cpus).fold(1.0, f64::max);
-        let mut best: Option<Spot> = None;
-        for (name, room) in free {
-            if !room.holds(&job.spec) {
-                continue;
-            }
-            let worker = &self.workers[name];
-            let tasks = worker.held.len();
-            if tasks >= self.cfg.tasks_per_worker || !self.allowed(job, group, worker) {
-                continue;
+    /// One round: places waiting tasks, greatest UPT first, as `Planned`, and
+    /// marks running ones to be stopped. Returns how many were placed and how
+    /// many stopped.
+    pub fn plan(&mut self, now: f64, preempt: bool) -> (usize, usize) {
+        let (groups, wake) = self.groups(now);
+        let (starts, stops) = if groups.is_empty() {
+            (Vec::new(), Vec::new())
+        } else {
+            let mut round = Round::new(self, now);
+            round.run(groups, preempt);
+            round.outcome()
+        };
+        self.wake_at = wake;
+        for (worker, attempt, newcomer) in &stops {
+            self.stop_for(worker, *attempt, newcomer, now);
+        }
+        let count = starts.len();
+        for (id, index, saved_s, worker) in starts {
+            self.place(&id, index, saved_s, &worker, now);
+        }
+        (count, stops.len())
+    }
+
+    fn stop_for(&mut self, name: &str, attempt: u64, newcomer: &str, now: f64) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        for held in worker.held.iter_mut().filter(|h| h.attempt == attempt) {
+            held.stop = Some(Stop {
+                reason: StopReason::Preempted,
+                at: now,
+            });
+            let text = format!("{} is stopped on {name} for {newcomer}", held.task_name());
+            self.events.push((false, text));
+        }
+        self.attention.insert(name.to_string());
+    }
+
+    fn place(&mut self, id: &str, index: u32, saved_s: f64, worker: &str, now: f64) {
+        let attempt = self.attempt();
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let Some(w) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if let Some(t) = self.types.get(&w.machine_type) {
+            w.images.want(&spec, t, now);
+        }
+        let mut held = Held::new(spec, index, attempt, w.session, now);
+        held.saved_s = saved_s;
+        self.occupy(worker, held);
+        self.planned.push((worker.to_string(), attempt));
+    }
+}
+
+impl Group<'_> {
+    /// Progress that counts on a machine type.
+    fn saved_on(&self, machine_type: &str) -> f64 {
+        self.resume
+            .filter(|r| r.machine_type.as_deref() == Some(machine_type))
+            .map_or(0.0, |r| r.saved_s)
+    }
+}
+
+/// A start that a round decided on: job, task, progress, worker.
+type PlannedStart = (String, u32, f64, String);
+/// A stop that a round decided on: worker, attempt, for which job.
+type PlannedStop = (String, u64, String);
+
+/// One round on the picture as it stands.
+struct Round<'a> {
+    c: &'a Cluster,
+    now: f64,
+    within: HashSet<&'a str>,
+    types: Vec<&'a MachineType>,
+    largest: f64,
+    /// Usable workers, by name.
+    slots: Vec<Slot<'a>>,
+    /// Slots changed by this round, in order.
+    log: Vec<usize>,
+    finders: HashMap<&'a str, Finder>,
+    ledgers: Vec<Ledger>,
+    /// CPUs and GPUs that each team will have given up when its stops are
+    /// confirmed.
+    leaving: Vec<Ledger>,
+    /// Where tasks are, of jobs for which that matters and that have starts.
+    zones: HashMap<&'a str, BTreeMap<String, u32>>,
+    /// Tasks taken from each job's waiting ones.
+    taken: HashMap<&'a str, usize>,
+    /// Tasks of each job placed with something of their own.
+    resumed: HashMap<&'a str, usize>,
+    /// Jobs for whose tasks room was made, or can't be.
+    asked: HashSet<&'a str>,
+    /// Slots on which room is being made.
+    making: BTreeSet<usize>,
+    victims_known: bool,
+    /// Priorities and teams of all victims.
+    kinds_of_victims: BTreeSet<(Priority, usize)>,
+    starts: Vec<Start<'a>>,
+    stops: Vec<(usize, u64, &'a str)>,
+}
+
+impl<'a> Round<'a> {
+    fn new(c: &'a Cluster, now: f64) -> Self {
+        let mut types: Vec<&MachineType> = c.types.values().collect();
+        types.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut slots = Vec::with_capacity(c.workers.len());
+        let mut leaving = vec![Ledger::default(); c.cfg.teams.len()];
+        let mut making = BTreeSet::new();
+        for worker in c.workers.values().filter(|w| w.usable(now, &c.cfg)) {
+            let named = types.binary_search_by(|t| t.name.as_str().cmp(&worker.machine_type));
+            let Ok(of_type) = named else { continue };
+            let mut soon = worker.free;
+            let stopping = |h: &&Held| h.stop.is_some() && h.occupies();
+            for held in worker.held.iter().filter(stopping) {
+                soon.add(&held.spec, 1.0);
+                making.insert(slots.len());
+                if let Some(team) = c.cfg.team(&held.spec.team) {
+                    leaving[team].cpus += held.spec.cpus;
+                    leaving[team].gpus += held.spec.gpus;
+                }
             }
-            let time = self.time_on(job, group, worker, now);
-            let size = self
-                .types
-                .get(&worker.machine_type)
-                .map_or(largest, |t| t.cpus);
-            let score = time + self.packing(size, room.cpus, largest);
-            if best.as_ref().is_none_or(|b| score < b.score) {
-                best = Some(Spot {
-                    worker: name.clone(),
-                    upt: self.worth(job, now + time * 0.5) / time,
-                    score,
-                });
+            slots.push(Slot {
+                worker,
+                of_type,
+                room: worker.free,
+                soon,
+                tasks: worker.held.len(),
+                images: Cow::Borrowed(&worker.images),
+                version: 0,
+                victims: Vec::new(),
+            });
+        }
+        Self {
+            c,
+            now,
+            within: c.within_guarantee(),
+            largest: types.iter().map(|t| t.cpus).fold(1.0, f64::max),
+            types,
+            slots,
+            log: Vec::new(),
+            finders: HashMap::new(),
+            ledgers: c.ledgers.clone(),
+            leaving,
+            zones: HashMap::new(),
+            taken: HashMap::new(),
+            resumed: HashMap::new(),
+            asked: HashSet::new(),
+            making,
+            victims_known: false,
+            kinds_of_victims: BTreeSet::new(),
+            starts: Vec::new(),
+            stops: Vec::new(),
+        }
+    }
+
+    fn best_possible(&self, group: &Group) -> Rank {
+        let saved = group.resume.map_or(0.0, |r| r.saved_s);
+        let left = self.c.remaining(group.job, saved);
+        Rank {
+            within: self.within.contains(group.job.spec.id.as_str()),
+            upt: self.c.worth(group.job, self.now + left * 0.5) / left,
+            accepted_at: group.job.accepted_at,
+        }
+    }
+
+    /// How many more tasks of the job its team's limit allows.
+    fn headroom(&self, job: &Job) -> usize {
+        let (team, used) = (&self.c.cfg.teams[job.team], &self.ledgers[job.team]);
+        let fit = |most: f64, used: f64, each: f64| {
+            if each > 0.0 {
+                ((most - used + EPS) / each).max(0.0) as usize
+            } else {
+                usize::MAX
             }
+        };
+        fit(team.cpus_max, used.cpus, job.spec.cpus).min(fit(
+            team.gpus_max,
+            used.gpus,
+            job.spec.gpus,
+        ))
+    }
+
+    fn allowed(&self, group: &Group, slot: usize) -> bool {
+        let zones = self
+            .zones
+            .get(group.job.spec.id.as_str())
+            .unwrap_or(&group.job.zones);
+        self.c.allowed(group, self.slots[slot].worker, zones)
+    }
+
+    fn entry(&self, job: &'a Job, slot: usize) -> Option<Entry> {
+        let s = &self.slots[slot];
+        let group = Group { job, resume: None };
+        if !s.room.holds(&job.spec)
+            || s.tasks >= self.c.cfg.tasks_per_worker
+            || !self.allowed(&group, slot)
+        {
+            return None;
         }
-        best
+        let time = self.c.time_on(&group, s.worker, &s.images, self.now);
+        let size = self.types[s.of_type].cpus;
+        Some(Entry {
+            cost: time + self.c.packing(size, s.room.cpus, self.largest),
+            slot,
+            version: s.version,
+        })
     }
 
-    /// One round: places waiting tasks, greatest UPT first, as `Planned`, and
-    /// marks running ones to be stopped. Returns how many were placed and how
-    /// many stopped.
-    pub fn plan(&mut self, now: f64, preempt: bool) -> (usize, usize) {
-        let groups = self.groups(now);
-        if groups.is_empty() {
-            return (0, 0);
+    /// The best slot with free room for a task of the group, and its UPT there.
+    fn best_spot(&mut self, group: &Group<'a>) -> Option<(usize, f64)> {
+        let id = group.job.spec.id.as_str();
+        let mut finder = self.finders.remove(id).unwrap_or_else(|| {
+            let mut heaps = vec![Vec::new(); self.types.len()];
+            for slot in 0..self.slots.len() {
+                if let Some(entry) = self.entry(group.job, slot) {
+                    heaps[self.slots[slot].of_type].push(entry);
+                }
+            }
+            Finder {
+                heaps: heaps.into_iter().map(BinaryHeap::from).collect(),
+                seen: self.log.len(),
+            }
+        });
+        for &slot in &self.log[finder.seen..] {
+            if let Some(entry) = self.entry(group.job, slot) {
+                finder.heaps[self.slots[slot].of_type].push(entry);
+            }
         }
-        let within = self.within_guarantee();
-        let mut free: BTreeMap<String, Room> = BTreeMap::new();
-        let mut soon: BTreeMap<String, Room> = BTreeMap::new();
-        for worker in self.workers.values().filter(|w| w.usable(now, &self.cfg)) {
-            free.insert(worker.name.clone(), worker.free);
-            let mut room = worker.free;
-            for held in worker
-                .held
-                .iter()
-                .filter(|h| h.occupies() && h.stop.is_some())
-            {
-                room.add(&held.spec, 1.0);
+        finder.seen = self.log.len();
+        let whole = self.c.remaining(group.job, 0.0);
+        let mut best: Option<Entry> = None;
+        for (at, heap) in finder.heaps.iter_mut().enumerate() {
+            let saved = group.saved_on(&self.types[at].name);
+            let less = whole - self.c.remaining(group.job, saved);
+            let mut aside = None;
+            while let Some(&head) = heap.peek() {
+                let s = &self.slots[head.slot];
+                // Rooms only shrink within a round, and zones only fill.
+                if s.version != head.version || !self.allowed(group, head.slot) {
+                    heap.pop();
+                } else if group
+                    .resume
+                    .is_some_and(|r| r.avoid.as_ref() == Some(&s.worker.name))
+                {
+                    aside = heap.pop();
+                } else {
+                    let cost = head.cost - less;
+                    let less = |b: &Entry| (cost, head.slot) < (b.cost, b.slot);
+                    if best.as_ref().is_none_or(less) {
+                        best = Some(Entry { cost, ..head });
+                    }
+                    break;
+                }
             }
-            soon.insert(worker.name.clone(), room);
+            heap.extend(aside);
         }
+        self.finders.insert(id, finder);
+        let slot = best?.slot;
+        let s = &self.slots[slot];
+        let time = self.c.time_on(group, s.worker, &s.images, self.now);
+        Some((slot, self.c.worth(group.job, self.now + time * 0.5) / time))
+    }
+
+    fn run(&mut self, groups: Vec<Group<'a>>, preempt: bool) {
         let mut heap: BinaryHeap<Candidate> = groups
             .into_iter()
             .map(|group| Candidate {
-                rank: self.best_possible(&group, &within, now),
+                rank: self.best_possible(&group),
                 group,
             })
             .collect();
-        let (mut placed, mut stopped) = (0, 0);
-        // Tasks that were promised room that is being made, by job.
-        let mut promised: HashMap<String, u32> = HashMap::new();
         while let Some(mut top) = heap.pop() {
-            let Some(job) = self.jobs.get(&top.group.job) else {
+            let job = top.group.job;
+            let headroom = self.headroom(job);
+            if headroom == 0 {
+                continue;
+            }
+            let Some((slot, upt)) = self.best_spot(&top.group) else {
+                if preempt {
+                    self.make_room(&top.group, headroom);
+                }
                 continue;
             };
-            if !self.under_limit(job) {
+            // A worker that must fetch the image first lowers the UPT: the
+            // group then waits for its new place in the order.
+            let there = Rank { upt, ..top.rank };
+            if upt + 1e-12 < top.rank.upt && heap.peek().is_some_and(|next| next.rank > there) {
+                top.rank = there;
+                heap.push(top);
                 continue;
             }
-            match self.best_spot(job, &top.group, now, &free) {
-                Some(spot) => {
-                    // A worker that must fetch the image first lowers the UPT:
-                    // the group then waits for its new place in the order.
-                    if spot.upt + 1e-12 < top.rank.upt
-                        && heap.peek().is_some_and(|next| {
-                            next.rank
-                                > Rank {
-                                    upt: spot.upt,
-                                    ..top.rank
-                                }
-                        })
-                    {
-                        top.rank.upt = spot.upt;
-                        heap.push(top);
-                        continue;
-                    }
-                    let Some(index) = self.take_waiting(&top.group) else {
-                        continue;
-                    };
-                    self.place(&top.group, index, &spot.worker, now);
-                    placed += 1;
-                    let room = self.workers[&spot.worker].free;
-                    let spec = self.jobs[&top.group.job].spec.clone();
-                    free.insert(spot.worker.clone(), room);
-                    if let Some(s) = soon.get_mut(&spot.worker) {
-                        s.add(&spec, -1.0);
-                    }
-                    if top.group.resume.is_none() && !self.jobs[&top.group.job].waiting.is_empty() {
-                        top.rank = self.best_possible(&top.group, &within, now);
-                        heap.push(top);
-                    }
-                }
-                None if preempt => {
-                    let count = promised.entry(top.group.job.clone()).or_default();
-                    *count += 1;
-                    let used = *count;
-                    let n = self.make_room(&top.group, now, &within, &mut soon);
-                    let Some(n) = n else { continue };
-                    stopped += n;
-                    let waiting = self.jobs[&top.group.job].waiting.len();
-                    if top.group.resume.is_none() && used < waiting {
-                        heap.push(top);
-                    }
-                }
-                None => {}
+            self.start(top.group, slot);
+            if top.group.resume.is_none() && self.unplaced(job) > 0 {
+                top.rank = self.best_possible(&top.group);
+                heap.push(top);
             }
         }
-        (placed, stopped)
     }
 
-    fn take_waiting(&mut self, group: &Group) -> Option<u32> {
-        let job = self.jobs.get_mut(&group.job)?;
-        match &group.resume {
-            Some(r) => Some(r.index),
-            None => job.waiting.least(),
-        }
+    /// Waiting tasks of the job without anything of their own that this round
+    /// has not placed.
+    fn unplaced(&self, job: &Job) -> usize {
+        let taken = self.taken.get(job.spec.id.as_str()).copied().unwrap_or(0);
+        job.waiting.len() as usize - taken
     }
 
-    fn place(&mut self, group: &Group, index: u32, worker: &str, now: f64) {
-        let attempt = self.attempt();
-        let Some(job) = self.jobs.get(&group.job) else {
-            return;
-        };
-        let spec = job.spec.clone();
-        let Some(w) = self.workers.get_mut(worker) else {
-            return;
+    fn start(&mut self, group: Group<'a>, slot: usize) {
+        let job = group.job;
+        let id = job.spec.id.as_str();
+        let index = match group.resume {
+            Some(resume) => {
+                *self.resumed.entry(id).or_default() += 1;
+                resume.index
+            }
+            None => {
+                let taken = self.taken.entry(id).or_default();
+                *taken += 1;
+                let Some(index) = job.waiting.nth(*taken as u32 - 1) else {
+                    return;
+                };
+                index
+            }
         };
-        let saved_s = group
-            .resume
-            .as_ref()
-            .filter(|r| r.machine_type.as_ref() == Some(&w.machine_type))
-            .map_or(0.0, |r| r.saved_s);
-        if let Some(t) = self.types.get(&w.machine_type) {
-            w.want_image(&spec, t, now);
+        let s = &mut self.slots[slot];
+        s.room.add(&job.spec, -1.0);
+        s.soon.add(&job.spec, -1.0);
+        s.tasks += 1;
+        s.version += 1;
+        let t = self.types[s.of_type];
+        s.images.to_mut().want(&job.spec, t, self.now);
+        self.log.push(slot);
+        self.ledgers[job.team].cpus += job.spec.cpus;
+        self.ledgers[job.team].gpus += job.spec.gpus;
+        if job.spec.one_zone || job.spec.spread {
+            let zones = self.zones.entry(id).or_insert_with(|| job.zones.clone());
+            *zones.entry(s.worker.zone.clone()).or_default() += 1;
         }
-        let held = Held {
-            index,
-            attempt,
-            session: w.session,
-            phase: Phase::Planned,
-            placed_at: now,
-            running_since: None,
-            saved_s,
-            stop: None,
-            inherited: false,
-            sent: false,
-            direct_pending: 0,
-            uncertain: false,
-            end_durable: false,
-            spec,
-        };
-        self.occupy(worker, held);
+        self.starts.push(Start { group, index, slot });
     }
 
-    /// Finds room that is being made for a task of the group, or stops running
-    /// tasks to make it: those of lower priority and lower UPT, and work that
-    /// another team runs beyond its guarantee where the task is within its
-    /// own; least UPT first. Returns how many were stopped.
-    fn make_room(
-        &mut self,
-        group: &Group,
-        now: f64,
-        within: &HashSet<String>,
-        soon: &mut BTreeMap<String, Room>,
-    ) -> Option<usize> {
-        let job = self.jobs.get(&group.job)?;
-        let spec = job.spec.clone();
-        for (name, room) in soon.iter_mut() {
-            if room.holds(&spec) && self.allowed(job, group, &self.workers[name]) {
-                room.add(&spec, -1.0);
-                return Some(0);
-            }
-        }
-        let entitled = within.contains(&group.job);
-        let mut best: Option<(f64, String, Vec<u64>)> = None;
-        for (name, room) in soon.iter() {
-            let worker = &self.workers[name];
-            if !self.allowed(job, group, worker) {
-                continue;
-            }
-            let time = self.time_on(job, group, worker, now);
-            let mut victims: Vec<(f64, &Held)> = worker
+    /// Everything that may be stopped at all: running tasks that save.
+    fn find_victims(&mut self) {
+        self.victims_known = true;
+        for s in &mut self.slots {
+            s.victims = s
+                .worker
                 .held
                 .iter()
-                .filter(|h| h.stop.is_none() && matches!(h.phase, Phase::On(TaskState::Running)))
+                .filter(|h| h.stop.is_none() && h.phase == Phase::On(TaskState::Running))
                 .filter(|h| h.spec.checkpoint_every_s > 0.0 && h.spec.shape == Shape::Array)
                 .filter_map(|h| {
-                    let upt = self.upt_running(h, now);
-                    // The cost of saving is part of the newcomer's time.
-                    let newcomer = self.worth(job, now + time * 0.5) / (time + h.spec.save_s);
-                    let team = self.cfg.team(&h.spec.team)?;
-                    let guarantee = &self.cfg.teams[team];
-                    let ledger = &self.ledgers[team];
-                    let borrowed =
-                        ledger.cpus > guarantee.cpus + EPS || ledger.gpus > guarantee.gpus + EPS;
-                    let ours = team == job.team;
-                    let protected = !ours && (within.contains(&h.spec.id) || !borrowed);
-                    let lower = h.spec.priority < spec.priority && upt < newcomer;
-                    let reclaim = entitled && !ours && borrowed && !within.contains(&h.spec.id);
-                    (!protected && (lower || reclaim)).then_some((upt, h))
+                    let team = self.c.cfg.team(&h.spec.team)?;
+                    Some((self.c.upt_running(h, self.now), h, team))
                 })
                 .collect();
-            victims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.attempt.cmp(&b.1.attempt)));
-            let mut would = *room;
-            let mut chosen = Vec::new();
-            let mut cost = 0.0;
-            for (upt, held) in victims {
-                if would.holds(&spec) {
-                    break;
-                }
-                would.add(&held.spec, 1.0);
-                chosen.push(held.attempt);
-                cost += upt;
+            let kinds = s.victims.iter().map(|v| (v.1.spec.priority, v.2));
+            self.kinds_of_victims.extend(kinds);
+            s.victims
+                .sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.attempt.cmp(&b.1.attempt)));
+        }
+    }
+
+    /// Whether a team has more than its guarantee, counting out what stops.
+    fn borrows(&self, team: usize) -> bool {
+        let (guarantee, used, less) = (
+            &self.c.cfg.teams[team],
+            &self.ledgers[team],
+            &self.leaving[team],
+        );
+        used.cpus - less.cpus > guarantee.cpus + EPS || used.gpus - less.gpus > guarantee.gpus + EPS
+    }
+
+    /// The victims on a slot that would make room for a task of the group, and
+    /// the UPT that they cost.
+    fn price(&self, group: &Group, slot: usize) -> Option<(f64, usize)> {
+        let s = &self.slots[slot];
+        let spec = &group.job.spec;
+        if s.victims.is_empty() || !self.allowed(group, slot) {
+            return None;
+        }
+        let time = self.c.time_on(group, s.worker, &s.images, self.now);
+        let worth = self.c.worth(group.job, self.now + time * 0.5);
+        let (mut would, mut cost, mut count) = (s.soon, 0.0, 0);
+        for victim in &s.victims {
+            if would.holds(spec) {
+                break;
             }
-            if would.holds(&spec) && best.as_ref().is_none_or(|b| cost < b.0) {
-                best = Some((cost, name.clone(), chosen));
+            if self.may_stop(group, victim, worth, time) {
+                would.add(&victim.1.spec, 1.0);
+                cost += victim.0;
+                count += 1;
             }
         }
-        let (_, name, chosen) = best?;
-        let worker = self.workers.get_mut(&name)?;
-        let mut freed = soon[&name];
-        for held in worker
-            .held
-            .iter_mut()
-            .filter(|h| chosen.contains(&h.attempt))
-        {
-            self.events.push((
-                false,
-                format!(
-                    "{} is stopped on {name} for {}",
-                    held.task_name(),
-                    group.job
-                ),
-            ));
-            held.stop = Some(Stop {
-                reason: StopReason::Preempted,
-                at: now,
-            });
-            freed.add(&held.spec, 1.0);
+        would.holds(spec).then_some((cost, count))
+    }
+
+    fn may_stop(&self, group: &Group, victim: &(f64, &Held, usize), worth: f64, time: f64) -> bool {
+        let &(upt, held, team) = victim;
+        let within = |id: &str| self.within.contains(id);
+        let ours = team == group.job.team;
+        let borrowed = self.borrows(team);
+        // The cost of saving is part of the newcomer's time.
+        let newcomer = worth / (time + held.spec.save_s);
+        let protected = !ours && (within(&held.spec.id) || !borrowed);
+        let lower = held.spec.priority < group.job.spec.priority && upt < newcomer;
+        let reclaim = within(&group.job.spec.id) && !ours && borrowed && !within(&held.spec.id);
+        !protected && (lower || reclaim)
+    }
+
+    /// Finds room that is being made for tasks of the group, or stops running
+    /// tasks to make it: those of lower priority and lower UPT, and work that
+    /// another team runs beyond its guarantee where the task is within its
+    /// own; least UPT first. Once a round for all that waits of a job.
+    fn make_room(&mut self, group: &Group<'a>, headroom: usize) {
+        let spec = &group.job.spec;
+        if !self.asked.insert(spec.id.as_str()) {
+            return;
+        }
+        let ready = group.job.resumes.values();
+        let ready = ready.filter(|r| r.not_before <= self.now).count();
+        let resumed = self.resumed.get(spec.id.as_str()).copied().unwrap_or(0);
+        let mut need = (self.unplaced(group.job) + ready - resumed).min(headroom);
+        for slot in self.making.clone() {
+            while need > 0 && self.slots[slot].soon.holds(spec) && self.allowed(group, slot) {
+                self.promise(group.job, slot);
+                need -= 1;
+            }
+        }
+        if need == 0 {
+            return;
+        }
+        if !self.victims_known {
+            self.find_victims();
         }
-        freed.add(&spec, -1.0);
-        soon.insert(name, freed);
-        Some(chosen.len())
+        let entitled = self.within.contains(spec.id.as_str());
+        let stoppable = self.kinds_of_victims.iter().any(|&(priority, team)| {
+            priority < spec.priority || (entitled && team != group.job.team && self.borrows(team))
+        });
+        if !stoppable {
+            return;
+        }
+        let mut heap: BinaryHeap<Entry> = (0..self.slots.len())
+            .filter_map(|slot| {
+                let (cost, _) = self.price(group, slot)?;
+                let version = self.slots[slot].version;
+                Some(Entry {
+                    cost,
+                    slot,
+                    version,
+                })
+            })
+            .collect();
+        while need > 0 {
+            let Some(best) = heap.pop() else { return };
+            // Since it was priced, its team may have come down to its guarantee.
+            let Some((cost, _)) = self.price(group, best.slot) else {
+                continue;
+            };
+            if cost > best.cost {
+                heap.push(Entry { cost, ..best });
+                continue;
+            }
+            self.stop_on(group, best.slot);
+            while need > 0
+                && self.slots[best.slot].soon.holds(spec)
+                && self.allowed(group, best.slot)
+            {
+                self.promise(group.job, best.slot);
+                need -= 1;
+            }
+            if let Some((cost, _)) = self.price(group, best.slot) {
+                heap.push(Entry { cost, ..best });
+            }
+        }
+    }
+
+    /// Room that is being made is kept for a task of the job.
+    fn promise(&mut self, job: &'a Job, slot: usize) {
+        self.slots[slot].soon.add(&job.spec, -1.0);
+        self.ledgers[job.team].cpus += job.spec.cpus;
+        self.ledgers[job.team].gpus += job.spec.gpus;
+    }
+
+    fn stop_on(&mut self, group: &Group<'a>, slot: usize) {
+        let s = &self.slots[slot];
+        let spec = &group.job.spec;
+        let time = self.c.time_on(group, s.worker, &s.images, self.now);
+        let worth = self.c.worth(group.job, self.now + time * 0.5);
+        let mut at = 0;
+        while at < self.slots[slot].victims.len() && !self.slots[slot].soon.holds(spec) {
+            let victim = self.slots[slot].victims[at];
+            if !self.may_stop(group, &victim, worth, time) {
+                at += 1;
+                continue;
+            }
+            let (_, held, team) = self.slots[slot].victims.remove(at);
+            self.slots[slot].soon.add(&held.spec, 1.0);
+            self.leaving[team].cpus += held.spec.cpus;
+            self.leaving[team].gpus += held.spec.gpus;
+            self.stops.push((slot, held.attempt, spec.id.as_str()));
+        }
+        self.making.insert(slot);
+    }
+
+    fn outcome(self) -> (Vec<PlannedStart>, Vec<PlannedStop>) {
+        let name = |slot: usize| self.slots[slot].worker.name.clone();
+        let starts = self.starts.iter().map(|s| {
+            let worker = self.slots[s.slot].worker;
+            let saved_s = s.group.saved_on(&worker.machine_type);
+            (
+                s.group.job.spec.id.clone(),
+                s.index,
+                saved_s,
+                worker.name.clone(),
+            )
+        });
+        let stops = self.stops.iter().map(|s| (name(s.0), s.1, s.2.to_string()));
+        (starts.collect(), stops.collect())
     }
 }
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -58,6 +58,8 @@
     pub class_due_s: HashMap<String, f64>,
     /// Most tasks on one machine, so that its record fits the state service.
     pub tasks_per_worker: usize,
+    /// Most direct messages under way at a time.
+    pub most_direct: usize,
     /// The leader's term.
     pub term: u64,
 }
@@ -236,9 +238,33 @@
     pub uncertain: bool,
     /// What its end means is durable.
     pub end_durable: bool,
+    /// The batch of placements that it is on record in.
+    pub batch: Option<Arc<str>>,
 }
 
 impl Held {
+    /// An attempt that nothing more is known of than where it is.
+    #[must_use]
+    pub fn new(spec: Arc<JobSpec>, index: u32, attempt: u64, session: u64, now: f64) -> Self {
+        Self {
+            spec,
+            index,
+            attempt,
+            session,
+            phase: Phase::Planned,
+            placed_at: now,
+            running_since: None,
+            saved_s: 0.0,
+            stop: None,
+            inherited: false,
+            sent: false,
+            direct_pending: 0,
+            uncertain: false,
+            end_durable: false,
+            batch: None,
+        }
+    }
+
     /// Whether it counts as being on the machine.
     #[must_use]
     pub fn occupies(&self) -> bool {
@@ -305,16 +331,18 @@
     pub finished: RangeSet,
     /// Chunks of `finished` that are not durable yet.
     pub dirty: BTreeSet<u32>,
-    /// Chunks of `finished` that have a durable record.
-    pub kept_chunks: BTreeSet<u32>,
+    /// Ends that wait to be made durable: task and worker.
+    pub unsaved: Vec<(u32, String)>,
     /// Tasks that wait and have nothing of their own.
     pub waiting: RangeSet,
-    /// Tasks that wait and have.
-    pub resumes: Vec<Resume>,
+    /// Tasks that wait and have, by number.
+    pub resumes: BTreeMap<u32, Resume>,
     /// How many attempts occupy a machine, by task.
     pub holds: BTreeMap<u32, u32>,
     /// How many attempts occupy a machine, by zone.
     pub zones: BTreeMap<String, u32>,
+    /// How many attempts each worker knows, ended ones too.
+    pub on: BTreeMap<String, u32>,
     /// Failures since the last success.
     pub errors: u32,
     /// Run times of its tasks by machine: sum and number.
@@ -337,14 +365,19 @@
     /// Whether another task may start in a zone, given the job's other tasks.
     #[must_use]
     pub fn zone_allowed(&self, zone: &str) -> bool {
+        self.zone_allowed_beside(zone, &self.zones)
+    }
+
+    /// The same, given how many tasks are in each zone.
+    pub(crate) fn zone_allowed_beside(&self, zone: &str, zones: &BTreeMap<String, u32>) -> bool {
         if self.spec.zone.as_ref().is_some_and(|z| z != zone) {
             return false;
         }
-        if self.spec.one_zone && self.zones.keys().any(|z| z != zone) {
+        if self.spec.one_zone && zones.keys().any(|z| z != zone) {
             return false;
         }
         if self.spec.spread {
-            let there = self.zones.get(zone).copied().unwrap_or(0);
+            let there = zones.get(zone).copied().unwrap_or(0);
             if there + 1 > self.spec.tasks.div_ceil(2) {
                 return false;
             }
@@ -411,10 +444,8 @@
     pub strays: Vec<(String, u64, bool)>,
     /// Free room.
     pub free: Room,
-    /// Images it should hold, least recently used first.
-    pub images: Vec<(String, f64)>,
-    /// Images that it fetches now, and when each should be there.
-    pub fetching: BTreeMap<String, f64>,
+    /// Images that it has or fetches.
+    pub images: Images,
     /// To be returned, and since when.
     pub leaving: Option<(LeaveReason, f64)>,
     /// The return was sent; the machine may go at any time.
@@ -431,12 +462,6 @@
     pub error_jobs: BTreeSet<String>,
     /// Sum of measured over expected run times, and their number.
     pub pace: (f64, u32),
-    /// Version of its record.
-    pub record_version: u64,
-    /// Its record may have changed behind an unanswered write.
-    pub record_unsure: bool,
-    /// Attempts in its record.
-    pub recorded: BTreeSet<u64>,
 }
 
 impl Worker {
@@ -447,7 +472,6 @@
             && self.fenced_at.is_some()
             && self.leaving.is_none()
             && self.notice_until.is_none()
-            && !self.record_unsure
             && now - self.heard_at < cfg.report_s * 2.5
     }
 
@@ -456,14 +480,25 @@
     pub fn up(&self) -> bool {
         self.session > 0
     }
+}
 
+/// Images on a machine.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Images {
+    /// Those it should hold, least recently used first.
+    pub cached: Vec<(String, f64)>,
+    /// Those it fetches now, and when each should be there.
+    pub fetching: BTreeMap<String, f64>,
+}
+
+impl Images {
     /// Marks an image as used now, dropping the least used above the cache.
-    pub(crate) fn use_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
-        self.images.retain(|i| i.0 != image);
-        self.images.push((image.to_string(), gb));
-        let mut total: f64 = self.images.iter().map(|i| i.1).sum();
-        while total > cache_gb && self.images.len() > 1 {
-            total -= self.images.remove(0).1;
+    pub(crate) fn touch(&mut self, image: &str, gb: f64, cache_gb: f64) {
+        self.cached.retain(|i| i.0 != image);
+        self.cached.push((image.to_string(), gb));
+        let mut total: f64 = self.cached.iter().map(|i| i.1).sum();
+        while total > cache_gb && self.cached.len() > 1 {
+            total -= self.cached.remove(0).1;
         }
     }
 
@@ -473,7 +508,7 @@
         if let Some(at) = self.fetching.get(image) {
             return (at - now).max(0.0);
         }
-        if self.images.iter().any(|i| i.0 == image) {
+        if self.cached.iter().any(|i| i.0 == image) {
             return 0.0;
         }
         let busy = self.fetching.values().fold(now, |a, b| a.max(*b)) - now;
@@ -482,71 +517,84 @@
 
     /// A task that needs an image is placed: the image is fetched if it is not
     /// there.
-    pub(crate) fn want_image(&mut self, spec: &JobSpec, t: &MachineType, now: f64) {
+    pub(crate) fn want(&mut self, spec: &JobSpec, t: &MachineType, now: f64) {
         let fetch = self.fetch_s(&spec.image, spec.image_gb, t.fetch_gb_per_s, now);
         if fetch > 0.0 {
             self.fetching
                 .entry(spec.image.clone())
                 .or_insert(now + fetch);
         }
-        self.use_image(&spec.image, spec.image_gb, t.cache_gb);
+        self.touch(&spec.image, spec.image_gb, t.cache_gb);
     }
 
     /// A fetch that no task waits for any more is given up.
-    pub(crate) fn drop_fetch(&mut self, image: &str) {
-        let wanted = self
-            .held
-            .iter()
-            .any(|h| h.occupies() && h.spec.image == image);
+    pub(crate) fn drop_fetch(&mut self, image: &str, held: &[Held]) {
+        let wanted = held.iter().any(|h| h.occupies() && h.spec.image == image);
         if !wanted && self.fetching.remove(image).is_some() {
-            self.images.retain(|i| i.0 != image);
+            self.cached.retain(|i| i.0 != image);
         }
     }
 }
 
-/// A worker's durable record: what was placed on it.
+/// A durable batch of placements, as one round made them. It is written once,
+/// never changed, and removed when all its attempts are over.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct BatchRecord {
+    /// Time of day of the placements, seconds.
+    #[serde(rename = "t")]
+    pub placed: u64,
+    /// Least attempt; the others are told from it.
+    #[serde(rename = "a")]
+    pub base: u64,
+    /// Jobs.
+    #[serde(rename = "j")]
+    pub jobs: Vec<JobRecord>,
+    /// Workers with their attempts.
+    #[serde(rename = "w")]
+    pub workers: Vec<WorkerRecord>,
+}
+
+/// What a batch keeps of a job: enough to count its tasks when it is over.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Id.
+    #[serde(rename = "j")]
+    pub id: String,
+    /// Team.
+    #[serde(rename = "o")]
+    pub team: String,
+    /// CPUs, GPUs and memory of a task.
+    #[serde(rename = "r")]
+    pub room: (f64, f64, f64),
+}
+
+/// A worker in a batch.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WorkerRecord {
+    /// Name.
+    #[serde(rename = "n")]
+    pub name: String,
     /// Where it takes direct commands.
+    #[serde(rename = "e")]
     pub endpoint: String,
     /// Machine type.
+    #[serde(rename = "m")]
     pub machine_type: String,
     /// Zone.
+    #[serde(rename = "z")]
     pub zone: String,
     /// Spot machine.
+    #[serde(rename = "p")]
     pub spot: bool,
-    /// Attempts.
-    pub tasks: Vec<TaskRecord>,
-    /// Images it should hold.
-    pub images: Vec<(String, f64)>,
-}
-
-/// A durable placement.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct TaskRecord {
-    /// Job id.
-    #[serde(rename = "j")]
-    pub job: String,
-    /// Number of the task.
-    #[serde(rename = "i")]
-    pub index: u32,
-    /// Attempt.
-    #[serde(rename = "a")]
-    pub attempt: u64,
     /// Session.
     #[serde(rename = "s")]
     pub session: u64,
-    /// Progress it began with, whole seconds.
-    #[serde(rename = "p")]
-    pub saved_s: u32,
-    /// Time of day of the placement, seconds.
+    /// Attempts: place of the job in the batch, number of the task, attempt
+    /// above the least, progress it began with in whole seconds.
     #[serde(rename = "t")]
-    pub placed: u64,
+    pub tasks: Vec<(usize, u32, u64, u32)>,
 }
 
-/// Bytes that one placement takes in a record, at most, and the rest of it.
-pub const TASK_RECORD_BYTES: usize = 128;
-
 /// Place of a priority in the worth steps.
 #[must_use]
 pub fn step(priority: Priority) -> usize {
--- /dev/null
+++ b/crates/tallygauge-sched/src/pages.rs
@@ -0,0 +1,252 @@
+//! How finished tasks are kept: many jobs' ranges share a few records, so that
+//! the progress of a hundred jobs costs a handful of writes.
+
+use crate::ranges::RangeSet;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// A part of a job's finished tasks: job, and number of the chunk.
+pub type Part = (String, u32);
+
+/// A page's content as it is kept: ranges by `JOB/CHUNK`.
+pub type PageRecord = BTreeMap<String, RangeSet>;
+
+#[derive(Debug, Clone, Default)]
+struct Page {
+    version: u64,
+    /// An unanswered write may have changed it: its version must be read.
+    unsure: bool,
+    parts: BTreeMap<Part, usize>,
+    bytes: usize,
+}
+
+/// A page to be written, and what it is conditioned on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PageWrite {
+    /// Number of the page.
+    pub page: u32,
+    /// Version that it must have.
+    pub version: u64,
+    /// New content; empty: to be removed.
+    pub record: PageRecord,
+}
+
+/// Pages to be written together.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct PageFlush {
+    /// The pages.
+    pub writes: Vec<PageWrite>,
+    /// Changed parts on them.
+    pub parts: BTreeSet<Part>,
+    /// Parts that this moves, with the pages they come from.
+    moved: Vec<(Part, u32)>,
+}
+
+/// Which part is on which page.
+#[derive(Debug, Default)]
+pub struct Pages {
+    pages: BTreeMap<u32, Page>,
+    place: HashMap<Part, u32>,
+    limit: usize,
+}
+
+fn name((job, chunk): &Part) -> String {
+    format!("{job}/{chunk}")
+}
+
+fn size(part: &Part, ranges: &RangeSet) -> usize {
+    // Quotes, colon and comma; every range two numbers in brackets.
+    part.0.len() + 16 + ranges.text_len()
+}
+
+impl Pages {
+    /// No pages yet; each is to take at most `limit` bytes.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            ..Self::default()
+        }
+    }
+
+    /// Takes up a page that is kept. Returns its parts.
+    pub fn load(&mut self, page: u32, version: u64, record: PageRecord) -> Vec<(Part, RangeSet)> {
+        let mut out = Vec::new();
+        let entry = self.pages.entry(page).or_default();
+        entry.version = version;
+        for (key, ranges) in record {
+            let Some((job, chunk)) = key.rsplit_once('/') else {
+                continue;
+            };
+            let Ok(chunk) = chunk.parse() else { continue };
+            let part: Part = (job.to_string(), chunk);
+            let bytes = size(&part, &ranges);
+            entry.parts.insert(part.clone(), bytes);
+            entry.bytes += bytes;
+            self.place.insert(part.clone(), page);
+            out.push((part, ranges));
+        }
+        out
+    }
+
+    fn drop_part(&mut self, part: &Part) {
+        if let Some(at) = self.place.remove(part)
+            && let Some(page) = self.pages.get_mut(&at)
+            && let Some(bytes) = page.parts.remove(part)
+        {
+            page.bytes -= bytes;
+        }
+    }
+
+    /// A job is over: its parts are left out of the next write of their pages.
+    pub fn forget(&mut self, job: &str, chunks: u32) {
+        for chunk in 0..chunks {
+            self.drop_part(&(job.to_string(), chunk));
+        }
+    }
+
+    /// Gives changed parts their places and returns the pages to write, at
+    /// most `most` of them and `bytes` in all. `ranges` tells a part's present content.
+    pub fn write(
+        &mut self,
+        changed: &[Part],
+        most: usize,
+        bytes: usize,
+        ranges: impl Fn(&Part) -> RangeSet,
+    ) -> PageFlush {
+        let mut flush = PageFlush::default();
+        let mut chosen = BTreeSet::new();
+        let mut total = 0;
+        for part in changed {
+            let need = size(part, &ranges(part));
+            let here = self.place.get(part).copied();
+            let fits = |page: &Page, had: usize| page.bytes - had + need <= self.limit;
+            let at = here
+                .filter(|at| {
+                    fits(&self.pages[at], self.pages[at].parts[part])
+                        || self.pages[at].parts.len() == 1
+                })
+                .or_else(|| {
+                    let better = |p: &(&u32, &Page)| !p.1.unsure && fits(p.1, 0);
+                    self.pages.iter().find(better).map(|p| *p.0)
+                })
+                .unwrap_or_else(|| (0..).find(|n| !self.pages.contains_key(n)).unwrap_or(0));
+            // Moved, the part goes from both pages in one transaction.
+            let touched: BTreeSet<u32> = here.into_iter().chain([at]).collect();
+            let unsure = |n: &u32| self.pages.get(n).is_some_and(|p| p.unsure);
+            if touched.iter().any(unsure) {
+                continue;
+            }
+            let new: Vec<u32> = touched.difference(&chosen).copied().collect();
+            let more: usize = new
+                .iter()
+                .map(|n| self.pages.get(n).map_or(0, |p| p.bytes))
+                .sum::<usize>()
+                + need;
+            if !chosen.is_empty() && (chosen.len() + new.len() > most || total + more > bytes) {
+                continue;
+            }
+            total += more;
+            chosen.extend(new);
+            if let Some(from) = here.filter(|from| *from != at) {
+                flush.moved.push((part.clone(), from));
+            }
+            self.put(part, at, need);
+            flush.parts.insert(part.clone());
+        }
+        flush.writes = chosen
+            .into_iter()
+            .map(|n| PageWrite {
+                page: n,
+                version: self.pages[&n].version,
+                record: self.pages[&n]
+                    .parts
+                    .keys()
+                    .map(|p| (name(p), ranges(p)))
+                    .collect(),
+            })
+            .collect();
+        flush
+    }
+
+    fn put(&mut self, part: &Part, at: u32, bytes: usize) {
+        self.drop_part(part);
+        let page = self.pages.entry(at).or_default();
+        page.parts.insert(part.clone(), bytes);
+        page.bytes += bytes;
+        self.place.insert(part.clone(), at);
+    }
+
+    /// Pages that hold nothing any more, to be removed.
+    #[must_use]
+    pub fn empty(&self, most: usize) -> Vec<PageWrite> {
+        self.pages
+            .iter()
+            .filter(|(_, p)| p.parts.is_empty() && p.version > 0 && !p.unsure)
+            .take(most)
+            .map(|(n, p)| PageWrite {
+                page: *n,
+                version: p.version,
+                record: PageRecord::new(),
+            })
+            .collect()
+    }
+
+    /// A write was made at `revision`.
+    pub fn written(&mut self, write: &PageWrite, revision: u64) {
+        let Some(page) = self.pages.get_mut(&write.page) else {
+            return;
+        };
+        page.version = if write.record.is_empty() { 0 } else { revision };
+        if page.version == 0 && page.parts.is_empty() {
+            self.pages.remove(&write.page);
+        }
+    }
+
+    /// The flush was not made, or (`doubt`) may have been, or failed for a
+    /// page's version: what it moved stays where it was, lest the next write of
+    /// the old page drop what no other page has yet.
+    pub fn failed(&mut self, flush: &PageFlush, doubt: bool) {
+        for (part, from) in &flush.moved {
+            if let Some(at) = self.place.get(part).copied() {
+                let bytes = self.pages[&at].parts[part];
+                self.put(part, *from, bytes);
+            }
+        }
+        if doubt {
+            self.doubt(&flush.writes);
+        }
+    }
+
+    /// These writes may have been made, or failed for a page's version.
+    pub fn doubt(&mut self, writes: &[PageWrite]) {
+        for write in writes {
+            if let Some(page) = self.pages.get_mut(&write.page) {
+                page.unsure = true;
+            }
+        }
+    }
+
+    /// Keeps only the parts of jobs that are open.
+    pub fn retain(&mut self, open: impl Fn(&str) -> bool) {
+        let over: Vec<Part> = self.place.keys().filter(|p| !open(&p.0)).cloned().collect();
+        for part in over {
+            self.drop_part(&part);
+        }
+    }
+
+    /// Pages whose version must be read.
+    #[must_use]
+    pub fn unsure(&self) -> Vec<u32> {
+        let unsure = self.pages.iter().filter(|p| p.1.unsure);
+        unsure.map(|p| *p.0).collect()
+    }
+
+    /// A page's version was read. A late write of the old one can't land after
+    /// the next, since both are conditioned on the version.
+    pub fn read(&mut self, page: u32, version: u64) {
+        if let Some(page) = self.pages.get_mut(&page) {
+            page.version = version;
+            page.unsure = false;
+        }
+    }
+}
--- a/crates/tallygauge-sched/src/ranges.rs
+++ b/crates/tallygauge-sched/src/ranges.rs
@@ -65,10 +65,16 @@
         self.0.get(at).is_some_and(|r| r.0 <= n)
     }
 
-    /// The least number.
+    /// The number that has `n` lesser ones before it.
     #[must_use]
-    pub fn least(&self) -> Option<u32> {
-        self.0.first().map(|r| r.0)
+    pub fn nth(&self, mut n: u32) -> Option<u32> {
+        for &(low, high) in &self.0 {
+            if n <= high - low {
+                return Some(low + n);
+            }
+            n -= high - low + 1;
+        }
+        None
     }
 
     /// How many numbers there are.
@@ -83,6 +89,14 @@
         self.0.is_empty()
     }
 
+    /// Bytes that the set takes as text, at most.
+    #[must_use]
+    pub fn text_len(&self) -> usize {
+        let digits = |n: u32| n.checked_ilog10().unwrap_or(0) as usize + 1;
+        let one = |r: &(u32, u32)| digits(r.0) + digits(r.1) + 4;
+        2 + self.0.iter().map(one).sum::<usize>()
+    }
+
     /// All numbers, in order.
     pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
         self.0.iter().flat_map(|&(low, high)| low..=high)
@@ -128,6 +142,8 @@
                 prop_assert_eq!(real.iter().collect::<Vec<_>>(), plain.iter().copied().collect::<Vec<_>>());
                 prop_assert_eq!(real.len() as usize, plain.len());
                 prop_assert_eq!(real.within(10, 20).iter().collect::<Vec<_>>(), plain.range(10..20).copied().collect::<Vec<_>>());
+                prop_assert_eq!(real.nth(n), plain.iter().nth(n as usize).copied());
+                prop_assert!(serde_json::to_string(&real).unwrap().len() <= real.text_len());
                 prop_assert_eq!(real.contains(n), plain.contains(&n));
             }
         }
--- /dev/null
+++ b/crates/tallygauge-sched/src/reports.rs
@@ -0,0 +1,391 @@
+//! Reports: what a worker says of its tasks, and what follows from it.
+
+use crate::{cluster::Cluster, model::*};
+use std::collections::HashMap;
+use tallygauge_wire::{
+    users::Shape,
+    workers::{EndCause, Report, TaskReport, TaskState},
+};
+
+/// What a report means for this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Taken up; it may be answered.
+    Taken,
+    /// Older than what is known; a check-in may still be answered.
+    Stale,
+    /// From a session that is over: answering would serve nobody.
+    Dead,
+    /// A higher token is about: this node leads no more.
+    Deposed(u64),
+}
+
+/// How a report came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// As a check-in. The worker sends one only when it has taken or given up
+    /// the answer to the one before.
+    CheckIn,
+    /// With the answer to a direct message. An answer to a check-in, with
+    /// starts in it, may still be on its way to the worker.
+    Direct,
+}
+
+impl Cluster {
+    /// Takes up a worker's report.
+    pub fn on_report(&mut self, now: f64, report: &Report, source: Source) -> Verdict {
+        if report.token > self.cfg.term {
+            return Verdict::Deposed(report.token);
+        }
+        self.know(
+            &report.machine,
+            &report.machine_type,
+            &report.zone,
+            report.spot,
+            &report.endpoint,
+            now,
+        );
+        let term = self.cfg.term;
+        let Some(worker) = self.workers.get_mut(&report.machine) else {
+            return Verdict::Stale;
+        };
+        if report.session <= worker.dead_session {
+            return Verdict::Dead;
+        }
+        if (report.session, report.seq) <= (worker.session, worker.seq) {
+            return Verdict::Stale;
+        }
+        worker.endpoint.clone_from(&report.endpoint);
+        worker.heard_at = now;
+        worker.direct_failures = 0;
+        // It lives after all.
+        if matches!(
+            worker.leaving,
+            Some((LeaveReason::NoBoot | LeaveReason::Silent, _))
+        ) && !worker.return_sent
+        {
+            worker.leaving = None;
+        }
+        if report.session > worker.session {
+            self.changed = true;
+            worker.session_at = now;
+        }
+        worker.session = report.session;
+        worker.seq = report.seq;
+        if report.token == term && worker.fenced_at.is_none() {
+            self.changed = true;
+            worker.fenced_at = Some(now);
+        }
+        if report.notice_s.is_some() && worker.notice_until.is_none() {
+            self.changed = true;
+            self.events
+                .push((true, format!("{} will be taken back", report.machine)));
+        }
+        match (report.notice_s, worker.notice_until) {
+            (Some(s), None) => worker.notice_until = Some(now + s),
+            (Some(s), Some(t)) => worker.notice_until = Some(t.min(now + s)),
+            (None, _) => worker.notice_until = None,
+        }
+        if report.session > 1 {
+            self.end_session(&report.machine, report.session - 1, now);
+        }
+        self.take_tasks(now, report, source);
+        if let Some(worker) = self.workers.get(&report.machine) {
+            if worker.fenced_at.is_none() {
+                self.attention.insert(report.machine.clone());
+            }
+            if worker.notice_until.is_some() || worker.leaving.is_some() {
+                self.drain(&report.machine, now);
+            }
+        }
+        Verdict::Taken
+    }
+
+    fn take_tasks(&mut self, now: f64, report: &Report, source: Source) {
+        let name = report.machine.as_str();
+        let fenced = report.token == self.cfg.term;
+        let mut seen: HashMap<u64, &TaskReport> = HashMap::new();
+        for task in &report.tasks {
+            seen.insert(task.attempt, task);
+        }
+        // Absent attempts. Before the fence a report proves nothing: an older
+        // start may still be under way.
+        let absent = self.take_off(name, |h| {
+            let there = seen.get(&h.attempt).is_some_and(|t| h.is_called(&t.task));
+            !there
+                && fenced
+                && h.session == report.session
+                && h.direct_pending == 0
+                && !h.uncertain
+                && match h.phase {
+                    Phase::Planned => false,
+                    // A start of this term is sent again until it is seen,
+                    // unless it is not wanted any more.
+                    Phase::Recorded => {
+                        h.inherited || (h.stop.is_some() && source == Source::CheckIn)
+                    }
+                    Phase::On(_) | Phase::Ended(_) => true,
+                }
+        });
+        for held in absent {
+            if held.occupies() {
+                let saved = self.saved_after_loss(&held, now);
+                self.vacate(name, &held, now);
+                self.requeue(&held, saved, name, 0.0);
+            }
+        }
+        let mut strays = Vec::new();
+        for task in &report.tasks {
+            self.take_task(now, name, report.session, task, &mut strays);
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.strays = strays;
+        }
+    }
+
+    fn take_task(
+        &mut self,
+        now: f64,
+        name: &str,
+        session: u64,
+        task: &TaskReport,
+        strays: &mut Vec<(String, u64, bool)>,
+    ) {
+        let ended = task.state == TaskState::Ended;
+        let Some((id, index)) = split_task(&task.task) else {
+            strays.push((task.task.clone(), task.attempt, ended));
+            return;
+        };
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let known = worker
+            .held
+            .iter()
+            .position(|h| h.attempt == task.attempt && h.spec.id == id && h.index == index);
+        let at = match known {
+            Some(at) => at,
+            None => {
+                // Not placed by anyone on record. Of an open job it is taken
+                // in, so that it is counted; else it is stopped and cleared.
+                let Some(job) = self.jobs.get(id).filter(|j| index < j.spec.tasks) else {
+                    strays.push((task.task.clone(), task.attempt, ended));
+                    return;
+                };
+                let mut held = Held::new(job.spec.clone(), index, task.attempt, session, now);
+                held.phase = Phase::Recorded;
+                (held.inherited, held.sent) = (true, true);
+                self.occupy(name, held);
+                match self.workers.get(name) {
+                    Some(w) => w.held.len() - 1,
+                    None => return,
+                }
+            }
+        };
+        let cache = self
+            .types
+            .get(self.workers[name].machine_type.as_str())
+            .map_or(0.0, |t| t.cache_gb);
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let held = &mut worker.held[at];
+        held.session = session;
+        held.sent = true;
+        if matches!(held.phase, Phase::Ended(_)) {
+            return;
+        }
+        if !ended {
+            held.phase = Phase::On(task.state);
+            if matches!(task.state, TaskState::Running | TaskState::Saving)
+                && held.running_since.is_none()
+            {
+                // After a take-over the start is known from the placement.
+                held.running_since = Some(if held.inherited { held.placed_at } else { now });
+                let spec = held.spec.clone();
+                worker.images.fetching.remove(&spec.image);
+                worker.images.touch(&spec.image, spec.image_gb, cache);
+            }
+            let done = self
+                .jobs
+                .get(id)
+                .is_some_and(|j| j.finished.contains(index));
+            let held = &mut worker.held[at];
+            if done && held.stop.is_none() {
+                held.stop = Some(Stop {
+                    reason: StopReason::Duplicate,
+                    at: now,
+                });
+            }
+            return;
+        }
+        let cause = task.cause.unwrap_or(EndCause::Unknown);
+        held.phase = Phase::Ended(cause);
+        let held = held.clone();
+        if cause != EndCause::Done {
+            self.events.push((
+                cause == EndCause::Error,
+                format!(
+                    "{} ended on {name}: {cause:?}, kept {:?}",
+                    task.task, task.kept
+                ),
+            ));
+        }
+        self.vacate(name, &held, now);
+        self.on_end(now, name, at, &held, cause, task.kept.unwrap_or(false));
+    }
+
+    fn on_end(
+        &mut self,
+        now: f64,
+        name: &str,
+        at: usize,
+        held: &Held,
+        cause: EndCause,
+        kept: bool,
+    ) {
+        let open = self.jobs.contains_key(&held.spec.id);
+        if cause == EndCause::Done && open && held.spec.shape == Shape::Array {
+            self.learn(held, name, now);
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.error_jobs.clear();
+            }
+            let chunk = held.index / self.chunk;
+            if let Some(job) = self.jobs.get_mut(&held.spec.id) {
+                job.errors = 0;
+                job.waiting.remove(held.index);
+                job.resumes.remove(&held.index);
+                if job.finished.insert(held.index) {
+                    job.dirty.insert(chunk);
+                }
+                // Finished under an earlier leader, its end is durable.
+                if job.dirty.contains(&chunk) {
+                    job.unsaved.push((held.index, name.to_string()));
+                    self.dirty_jobs.insert(held.spec.id.clone());
+                } else if let Some(worker) = self.workers.get_mut(name) {
+                    worker.held[at].end_durable = true;
+                }
+            }
+            // Other attempts of it are rare.
+            let elsewhere: Vec<String> = match self.jobs.get(&held.spec.id) {
+                Some(job) if job.holds.contains_key(&held.index) => {
+                    job.on.keys().cloned().collect()
+                }
+                _ => Vec::new(),
+            };
+            for other in elsewhere {
+                let Some(worker) = self.workers.get_mut(&other) else {
+                    continue;
+                };
+                self.attention.insert(other);
+                for other in &mut worker.held {
+                    if other.occupies()
+                        && other.index == held.index
+                        && other.spec.id == held.spec.id
+                        && other.stop.is_none()
+                    {
+                        other.stop = Some(Stop {
+                            reason: StopReason::Duplicate,
+                            at: now,
+                        });
+                    }
+                }
+            }
+            return;
+        }
+        // Any other end needs nothing durable: the task simply waits again.
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.held[at].end_durable = true;
+        }
+        match cause {
+            EndCause::Halted | EndCause::Done => {
+                let saved = if kept {
+                    held.saved_s + held.ran_s(now)
+                } else {
+                    self.saved_after_loss(held, now)
+                };
+                self.requeue(held, saved, name, 0.0);
+            }
+            EndCause::Error | EndCause::NoSuch | EndCause::Unknown => {
+                let errors = match self.jobs.get_mut(&held.spec.id) {
+                    Some(job) => {
+                        job.errors = (job.errors + 1).min(64);
+                        job.errors
+                    }
+                    None => 1,
+                };
+                // The first failures are likely the machine's fault and cost
+                // little; a job that fails everywhere must not keep machines
+                // busy.
+                let doublings = (errors / 4).min(4);
+                let wait = self.cfg.report_s * f64::from(1u32 << doublings);
+                let saved = self.saved_after_loss(held, now);
+                self.requeue(held, saved, name, now + wait);
+                if cause == EndCause::Error
+                    && let Some(worker) = self.workers.get_mut(name)
+                {
+                    worker.error_jobs.insert(held.spec.id.clone());
+                    if worker.error_jobs.len() >= 2 && worker.leaving.is_none() {
+                        worker.leaving = Some((LeaveReason::Faulty, now));
+                    }
+                }
+            }
+            EndCause::NoRoom | EndCause::Busy => {
+                self.requeue(held, held.saved_s, name, now + self.cfg.report_s * 0.5);
+            }
+        }
+    }
+
+    fn learn(&mut self, held: &Held, name: &str, now: f64) {
+        let whole = held.saved_s + held.ran_s(now);
+        if held.spec.expected_s <= 0.0 || held.inherited || held.running_since.is_none() {
+            return;
+        }
+        let ratio = (whole / held.spec.expected_s).clamp(0.1, 10.0);
+        let pace = self.paces.entry(held.spec.class.clone()).or_default();
+        // Old days fade: the last fifty or so tasks count.
+        pace.ratio_sum = pace.ratio_sum * 0.98 + ratio;
+        pace.count = pace.count * 0.98 + 1.0;
+        // A machine is judged against others by tasks of the same job: owners'
+        // estimates are wrong for whole jobs, and machines are not to blame.
+        let Some(job) = self.jobs.get_mut(&held.spec.id) else {
+            return;
+        };
+        let here = job.measured.entry(name.to_string()).or_default();
+        here.0 += whole;
+        here.1 += 1;
+        let (sum, count) = job
+            .measured
+            .iter()
+            .filter(|(other, _)| *other != name)
+            .fold((0.0, 0), |a, (_, m)| (a.0 + m.0, a.1 + m.1));
+        if count >= 2
+            && sum > 0.0
+            && let Some(worker) = self.workers.get_mut(name)
+        {
+            worker.pace.0 += whole / (sum / f64::from(count));
+            worker.pace.1 += 1;
+        }
+    }
+
+    /// Measured over expected run time of a class, leaning on 1 while little
+    /// is known.
+    #[must_use]
+    pub fn class_ratio(&self, class: &str) -> f64 {
+        let pace = self.paces.get(class).copied().unwrap_or_default();
+        ((pace.ratio_sum + 5.0) / (pace.count + 5.0)).clamp(0.4, 2.5)
+    }
+
+    /// Marks that a check-in of the worker was answered with our token.
+    pub fn answered(&mut self, name: &str, now: f64) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.answered_at = now;
+        }
+    }
+}
+
+/// Job id and task number.
+fn split_task(name: &str) -> Option<(&str, u32)> {
+    let (id, index) = name.rsplit_once('/')?;
+    Some((id, index.parse().ok()?))
+}
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -34,6 +34,7 @@
         horizon_boots: 1.0,
         class_due_s: HashMap::new(),
         tasks_per_worker: 50,
+        most_direct: 100,
         term: TERM,
     }
 }
@@ -106,7 +107,7 @@
 }
 
 fn cluster(machines: &[&str], now: f64) -> Cluster {
-    let mut c = Cluster::new(config(), now, 16);
+    let mut c = Cluster::new(config(), now, 16, 4096);
     c.set_types(&types());
     for m in machines {
         assert_eq!(
@@ -127,8 +128,8 @@
         }
     }
     out.sort();
-    for write in c.placement_writes(true, 0.0, now) {
-        c.written(&write, 100);
+    for batch in c.batches(4096, 60, 0.0) {
+        c.written(&batch, now);
     }
     out.into_iter().map(|o| o.1).collect()
 }
@@ -190,20 +191,17 @@
             if used[job.team] + job.spec.cpus > c.cfg.teams[job.team].cpus_max + 1e-9 {
                 continue;
             }
-            let group = Group {
-                job: id.clone(),
-                resume: None,
-            };
+            let group = Group { job, resume: None };
             let mut spot: Option<(f64, f64, String)> = None;
             for (name, room) in &free {
                 let w = &images[name];
                 if room.cpus + 1e-9 < job.spec.cpus
                     || room.memory_gb + 1e-9 < job.spec.memory_gb
-                    || !c.allowed(job, &group, w)
+                    || !c.allowed(&group, w, &job.zones)
                 {
                     continue;
                 }
-                let time = c.time_on(job, &group, w, now);
+                let time = c.time_on(&group, w, &w.images, now);
                 let size = if w.machine_type == "large" { 16.0 } else { 4.0 };
                 let score = time + c.packing(size, room.cpus, largest);
                 if spot.as_ref().is_none_or(|s| score < s.0) {
@@ -211,7 +209,7 @@
                 }
             }
             let Some((_, upt, name)) = spot else { continue };
-            let key = (within.contains(id), upt, -job.accepted_at);
+            let key = (within.contains(id.as_str()), upt, -job.accepted_at);
             let better = best.as_ref().is_none_or(|b| {
                 key.0
                     .cmp(&b.0)
@@ -237,27 +235,30 @@
             .into_iter()
             .find(|t| t.name == w.machine_type)
             .unwrap();
-        w.want_image(&job.spec, &t, now);
+        w.images.want(&job.spec, &t, now);
         out.push((id, index, name));
     }
 }
 
-/// What an earlier leader left of worker `sa`: the first task of `req-1`.
-fn left_record() -> WorkerRecord {
-    WorkerRecord {
-        endpoint: "sa:1".into(),
-        machine_type: "small".into(),
-        zone: "a".into(),
-        spot: false,
-        tasks: vec![TaskRecord {
-            job: "req-1".into(),
-            index: 0,
-            attempt: 77,
+/// What an earlier leader left: the first task of `req-1` on worker `sa`.
+fn left_record() -> BatchRecord {
+    BatchRecord {
+        placed: 0,
+        base: 77,
+        jobs: vec![JobRecord {
+            id: "req-1".into(),
+            team: "red".into(),
+            room: (1.5, 0.0, 1.0),
+        }],
+        workers: vec![WorkerRecord {
+            name: "sa".into(),
+            endpoint: "sa:1".into(),
+            machine_type: "small".into(),
+            zone: "a".into(),
+            spot: false,
             session: 1,
-            saved_s: 0,
-            placed: 0,
+            tasks: vec![(0, 0, 0, 0)],
         }],
-        images: vec![],
     }
 }
 
@@ -327,12 +328,23 @@
                 prop_assert!((full - held - w.free.cpus).abs() < 1e-6);
                 prop_assert!(w.free.cpus > -1e-6, "{} is overfull", w.name);
             }
+            // A batch is kept while an attempt in it is held, and no longer.
+            for (batch, count) in &c.batches {
+                let held = c.workers.values().flat_map(|w| &w.held).filter(|h| h.occupies() && h.batch.as_ref() == Some(batch)).count();
+                prop_assert_eq!(*count as usize, held);
+                prop_assert!(!c.garbage.contains(batch));
+            }
             let red: f64 = c.workers.values().flat_map(|w| &w.held).filter(|h| h.occupies()).map(|h| h.spec.cpus).sum();
             prop_assert!((c.ledgers[0].cpus - red).abs() < 1e-6 && red <= 24.0 + 1e-6);
             for j in c.jobs.values() {
                 // Every task is done, held, or waits; none is lost or twice.
                 let waits = j.waiting.len() + j.resumes.len() as u32;
                 prop_assert_eq!(j.finished.len() + j.holds.len() as u32 + waits, j.spec.tasks);
+                // The index of where a job's attempts are is that of a search.
+                for w in c.workers.values() {
+                    let there = w.held.iter().filter(|h| h.spec.id == j.spec.id).count() as u32;
+                    prop_assert_eq!(j.on.get(&w.name).copied().unwrap_or(0), there);
+                }
             }
         }
     }
@@ -392,7 +404,7 @@
         vec![("req-2".to_string(), 0, "sa".to_string())]
     );
     assert!(
-        c.jobs["req-1"].resumes[0].saved_s > 3.0,
+        c.jobs["req-1"].resumes[&1].saved_s > 3.0,
         "its progress is kept"
     );
 }
@@ -429,8 +441,8 @@
         &report("sa", 1, 5, TERM, vec![done.clone()]),
         Source::CheckIn,
     );
-    let finish = c.finishes(true).remove(0);
-    c.finish_written(&finish, 110.0);
+    assert_eq!(c.completions(9).len(), 1);
+    c.remove_job("req-1", 110.0);
     assert!(c.commands("sa", 110.0).is_empty(), "must not be cleared");
     // Absent from a report it would still hold its place, being uncertain.
     c.on_report(111.0, &report("sa", 1, 6, TERM, vec![]), Source::CheckIn);
@@ -446,8 +458,7 @@
     let fresh = || {
         let mut c = cluster(&["l1a"], 100.0);
         c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
-        let specs = HashMap::from([("req-1".to_string(), c.jobs["req-1"].spec.clone())]);
-        c.inherit("sa", &record, 7, &specs, 100.0, 0.0);
+        c.inherit("2-7", &record, 100.0, 0.0);
         c
     };
     // A report older than the fence proves nothing: a start may be under way.
@@ -606,15 +617,21 @@
     let s = spec(1, 1, 1.0);
     let t = &types()[0];
     let fetch = |c: &Cluster, on: &str, now| {
-        c.workers[on].fetch_s(&s.image, s.image_gb, t.fetch_gb_per_s, now)
+        c.workers[on]
+            .images
+            .fetch_s(&s.image, s.image_gb, t.fetch_gb_per_s, now)
     };
     assert_eq!(fetch(&c, &first, 103.0), 0.0);
     assert_eq!(fetch(&c, other, 103.0), 2.5);
     let w = c.workers.get_mut(other).unwrap();
-    w.want_image(&s, t, 103.0);
+    w.images.want(&s, t, 103.0);
     assert_eq!(fetch(&c, other, 104.0), 1.5, "under way is not there");
     // Given up with the last task that waits for it.
-    c.workers.get_mut(other).unwrap().drop_fetch(&s.image);
+    c.workers
+        .get_mut(other)
+        .unwrap()
+        .images
+        .drop_fetch(&s.image, &[]);
     assert_eq!(fetch(&c, other, 104.0), 2.5);
 }
 
@@ -622,11 +639,9 @@
 fn machines_known_before_their_types_have_their_room_later() {
     // A node that took over before it had read the catalogue saw no room on
     // any machine, placed nothing, and returned the whole fleet as idle.
-    let mut c = Cluster::new(config(), 100.0, 16);
+    let mut c = Cluster::new(config(), 100.0, 16, 4096);
     c.add_job(spec(1, 2, 1.5), 1, 90.0, &RangeSet::default());
-    let specs = HashMap::from([("req-1".to_string(), c.jobs["req-1"].spec.clone())]);
-    let record = left_record();
-    c.inherit("sa", &record, 7, &specs, 100.0, 0.0);
+    c.inherit("2-7", &left_record(), 100.0, 0.0);
     let running = task("req-1/0", 77, TaskState::Running, None);
     c.on_report(
         101.0,
@@ -742,7 +757,7 @@
     c.add_job(spec(1, 2, 1.0), 1, 90.0, &RangeSet::default());
     let mut next = config();
     next.term += 1;
-    let first_of_next = Cluster::new(next, 100.0, 16).next_attempt;
+    let first_of_next = Cluster::new(next, 100.0, 16, 4096).next_attempt;
     c.next_attempt = first_of_next - 4;
     c.plan(100.0, true);
     assert!(!c.out_of_attempts());
--- a/crates/tallygauge-state/src/budget.rs
+++ b/crates/tallygauge-state/src/budget.rs
@@ -97,6 +97,18 @@
         state.writes.rate = writes;
     }
 
+    /// Requests a second that this node may make.
+    #[must_use]
+    pub fn request_rate(&self) -> f64 {
+        self.state.lock().expect("budget lock").requests.rate
+    }
+
+    /// Requests that wait for their turn.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.state.lock().expect("budget lock").waiting
+    }
+
     /// The service said that the limit is passed: what was saved up is void.
     pub fn refused(&self) {
         let mut state = self.state.lock().expect("budget lock");
--- a/crates/tallygauge/src/control.rs
+++ b/crates/tallygauge/src/control.rs
@@ -1,34 +1,53 @@
 //! The control loop: rounds, durable placements, durable progress.
 
 use crate::{
-    node::{Node, TERM_KEY, chunk_key, open_key, over_key, worker_key},
+    node::{Known, Node, TERM_KEY, batch_key, open_key, over_key, page_key},
     users::OverRecord,
     workers,
 };
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
-use tallygauge_sched::{Finish, PlacementWrite, WorkerRecord};
+use std::{sync::Arc, time::Duration};
+use tallygauge_sched::{Batch, Completion, Flush, PageWrite};
 use tallygauge_state::{Class, Error, Outcome};
 use tallygauge_wire::{
+    BODY_LIMIT,
     state::{Guard, Transaction, Write},
     users::JobStatus,
 };
 
+/// Bytes that the values of one transaction may take: the rest of its body is
+/// for conditions and keys.
+const VALUE_BYTES: usize = BODY_LIMIT * 3 / 4;
+
+/// Part of a value's limit that records are filled to.
+const VALUE_USED: f64 = 0.9;
+
+/// Part of the process's time that rounds may take.
+const ROUND_SHARE: f64 = 0.25;
+
+/// Bytes of one record.
+#[must_use]
+pub fn record_bytes(node: &Node) -> usize {
+    let limit = node.settings.deployment.state.value_kb * 1024.0;
+    ((limit * VALUE_USED) as usize).min(VALUE_BYTES)
+}
+
 /// Rounds, until the term is lost. An event brings a round at once, but not
-/// sooner after the last than the gap; else the interval does.
+/// sooner after the last than the gap; else the interval does. The gap follows
+/// what a round takes, so that reports and users are never starved by rounds.
 pub async fn run(node: &Arc<Node>, term_guard: Guard) {
     let report = node.settings.deployment.workers.report_s;
-    let gap = Duration::from_secs_f64(report * node.tuning.round_gap);
+    let gap = report * node.tuning.round_gap;
     let interval = node.tuning.round_interval.min(report);
-    let mut wrote_all = node.now();
+    let (mut cleaned, mut ticked) = (node.now(), f64::NEG_INFINITY);
     let mut summary = node.now();
+    let mut longest: f64 = 0.0;
     loop {
         let wake = node
-            .with_cluster(|c| c.next_wake(node.now()))
+            .with_cluster(|c| c.next_wake())
             .flatten()
             .map_or(interval, |t| (t - node.now()).clamp(0.01, interval));
         let _ = tokio::time::timeout(Duration::from_secs_f64(wake), node.wake.notified()).await;
         let now = node.now();
-        let all = now - wrote_all > report;
         // Without a term confirmed of late nothing new is placed: it could
         // not be made durable.
         let ttl = node.term_ttl().as_secs_f64();
@@ -36,20 +55,30 @@
             .lock(&node.lead)
             .as_ref()
             .is_some_and(|l| now - l.confirmed < ttl * 1.5);
-        let writes = node.with_cluster(|c| {
-            c.tick(now);
+        let tick = now - ticked > report * 0.25;
+        if tick {
+            ticked = now;
+        }
+        let most_jobs = node.settings.deployment.state.txn_ops * 4 - 2;
+        let batches = node.with_cluster(|c| {
+            if tick {
+                c.tick(now);
+            }
             if sure {
                 let (placed, stopped) = c.plan(now, true);
                 if placed + stopped > 0 {
                     tracing::debug!(placed, stopped, "round");
                 }
-                c.placement_writes(all, Node::time_of_day(), now)
+                c.batches(record_bytes(node), most_jobs, Node::time_of_day())
             } else {
                 Vec::new()
             }
         });
-        let Some(writes) = writes else {
-            tokio::time::sleep(gap).await;
+        let took = node.now() - now;
+        longest = longest.max(took);
+        let pause = Duration::from_secs_f64(gap.max(took * (1.0 / ROUND_SHARE - 1.0)));
+        let Some(batches) = batches else {
+            tokio::time::sleep(pause).await;
             continue;
         };
         // Nothing of this round is written yet: no number is used twice.
@@ -57,215 +86,213 @@
             node.step_down("the term's attempts are used up");
             return;
         }
-        for (weighs, text) in node
-            .with_cluster(|c| std::mem::take(&mut c.events))
-            .unwrap_or_default()
-        {
-            if weighs {
-                tracing::info!("{text}");
-            } else {
-                tracing::debug!("{text}");
-            }
-        }
+        tell(node);
         // Stops need nothing durable and go out first.
         workers::dispatch(node);
-        for batch in batches(node, writes) {
+        for batch in batches {
             place(node, &term_guard, batch).await;
             workers::dispatch(node);
         }
-        reread(node).await;
-        if all {
+        if now - cleaned > report * 0.5 {
             clean(node, &term_guard).await;
-            wrote_all = now;
+            cleaned = now;
         }
         if now - summary > report * 4.0 {
             summary = now;
-            node.with_cluster(|c| {
-                let running: usize = c
-                    .workers
-                    .values()
-                    .map(|w| w.held.iter().filter(|h| h.occupies()).count())
-                    .sum();
-                let waiting: u32 = c
-                    .jobs
-                    .values()
-                    .map(|j| j.waiting.len() + j.resumes.len() as u32)
-                    .sum();
-                let up = c.workers.values().filter(|w| w.up()).count();
-                let [starting, fetching, busy, free] = c.use_of_cpus();
-                tracing::info!(
-                    jobs = c.jobs.len(),
-                    running,
-                    waiting,
-                    machines = c.workers.len(),
-                    up,
-                    cpus_starting = starting,
-                    cpus_fetching = fetching,
-                    cpus_running = busy,
-                    cpus_free = free,
-                    "summary"
-                );
-            });
+            summarize(node, longest);
+            longest = 0.0;
         }
         node.wake_cloud.notify_one();
-        tokio::time::sleep(gap).await;
+        tokio::time::sleep(pause).await;
     }
 }
 
-/// Splits writes so that each transaction keeps the service's limits.
-fn batches(node: &Node, writes: Vec<PlacementWrite>) -> Vec<Vec<PlacementWrite>> {
-    let ops = node.settings.deployment.state.txn_ops;
-    let mut out: Vec<Vec<PlacementWrite>> = Vec::new();
-    let (mut guards, mut bytes) = (0, 0);
-    for write in writes {
-        let g = 1 + write.jobs.len();
-        let b = 512 + write.attempts.len() * tallygauge_sched::TASK_RECORD_BYTES + g * 64;
-        let full = out
-            .last()
-            .is_none_or(|l| l.len() >= ops || guards + g > ops * 4 - 1 || bytes + b > 56 * 1024);
-        if full {
-            out.push(Vec::new());
-            (guards, bytes) = (0, 0);
-        }
-        guards += g;
-        bytes += b;
-        if let Some(last) = out.last_mut() {
-            last.push(write);
+/// Logs what happened in the picture.
+fn tell(node: &Node) {
+    let events = node.with_cluster(|c| std::mem::take(&mut c.events));
+    for (weighs, text) in events.unwrap_or_default() {
+        if weighs {
+            tracing::info!("{text}");
+        } else {
+            tracing::debug!("{text}");
         }
     }
-    out
 }
 
-/// Makes placements durable. Only then may their starts go out. Conditioned on
-/// the term, on each worker's record, and on the records of the jobs, so that
-/// nothing starts after a cancellation.
-async fn place(node: &Arc<Node>, term_guard: &Guard, batch: Vec<PlacementWrite>) {
-    let class = if batch.iter().any(|w| w.urgent) {
-        Class::Placement
-    } else {
-        Class::Progress
-    };
-    let mut txn = Transaction {
-        guards: vec![term_guard.clone()],
-        writes: Vec::new(),
+fn summarize(node: &Node, longest_round_s: f64) {
+    let backlog = node.state.budget().waiting();
+    node.with_cluster(|c| {
+        let held = |w: &tallygauge_sched::Worker| w.held.iter().filter(|h| h.occupies()).count();
+        let running: usize = c.workers.values().map(held).sum();
+        let waiting: usize = c
+            .jobs
+            .values()
+            .map(|j| j.waiting.len() as usize + j.resumes.len())
+            .sum();
+        let up = c.workers.values().filter(|w| w.up()).count();
+        let [starting, fetching, busy, free] = c.use_of_cpus();
+        tracing::info!(
+            jobs = c.jobs.len(),
+            running,
+            waiting,
+            machines = c.workers.len(),
+            up,
+            cpus_starting = starting,
+            cpus_fetching = fetching,
+            cpus_running = busy,
+            cpus_free = free,
+            round_ms = (longest_round_s * 1000.0) as u64,
+            writes_waiting = backlog,
+            "summary"
+        );
+    });
+}
+
+/// Makes a batch of placements durable. Only then may its starts go out.
+/// Conditioned on the term, on the batch's name being new, and on the records
+/// of the jobs, so that nothing starts after a cancellation.
+///
+/// Unanswered, the same transaction is sent until it is answered: it can be
+/// made once at most, and a refusal on its conditions is final, since neither
+/// a removed job nor a term comes back.
+async fn place(node: &Arc<Node>, term_guard: &Guard, batch: Batch) {
+    let key = batch_key(&batch.name);
+    let mut guards = vec![
+        term_guard.clone(),
+        Guard {
+            key: key.clone(),
+            version: 0,
+        },
+    ];
+    guards.extend(batch.jobs.iter().map(|(id, version)| Guard {
+        key: open_key(id),
+        version: *version,
+    }));
+    let Ok(value) = serde_json::to_value(&batch.record) else {
+        return;
     };
-    for write in &batch {
-        let key = worker_key(&write.worker);
-        txn.guards.push(Guard {
+    let txn = Transaction {
+        guards,
+        writes: vec![Write::Set {
             key: key.clone(),
-            version: write.version,
-        });
-        for (id, version) in &write.jobs {
-            let guard = Guard {
-                key: open_key(id),
-                version: *version,
-            };
-            if !txn.guards.contains(&guard) {
-                txn.guards.push(guard);
+            value,
+            lease: None,
+        }],
+    };
+    let mut unanswered = false;
+    loop {
+        let asked = node.now();
+        let outcome = node.state.transact(Class::Placement, &txn).await;
+        let now = node.now();
+        let made = match outcome {
+            Ok(Outcome::Made(_)) => {
+                if let Some(lead) = node.lock(&node.lead).as_mut() {
+                    lead.confirmed = lead.confirmed.max(asked);
+                }
+                Some(true)
             }
-        }
-        txn.writes.push(match &write.record {
-            Some(record) => Write::Set {
-                key,
-                value: serde_json::to_value(record).unwrap_or_default(),
-                lease: None,
-            },
-            None => Write::Remove { key },
-        });
-    }
-    let asked = node.now();
-    let outcome = node.state.transact(class, &txn).await;
-    if let Ok(Outcome::Conflict(failed)) = &outcome
-        && failed.iter().any(|k| k == TERM_KEY)
-    {
-        node.step_down("a write found another term");
-        return;
-    }
-    let now = node.now();
-    if let Some(lead) = node.lock(&node.lead).as_mut() {
-        let made = matches!(outcome, Ok(Outcome::Made(_)));
-        if made {
-            lead.confirmed = lead.confirmed.max(asked);
-        }
-        let Some(cluster) = lead.cluster.as_mut() else {
-            return;
-        };
-        for write in &batch {
-            match &outcome {
-                Ok(Outcome::Made(revision)) => {
-                    cluster.written(write, *revision);
-                    for job in &write.jobs {
-                        tracing::debug!(worker = write.worker, job = job.0, "placed");
-                    }
+            Ok(Outcome::Conflict(failed)) => {
+                if failed.iter().any(|k| k == TERM_KEY) {
+                    node.step_down("a write found another term");
+                    return;
                 }
-                Ok(Outcome::Conflict(failed)) => {
-                    let unsure = failed.iter().any(|k| *k == worker_key(&write.worker));
-                    cluster.unwritten(write, unsure);
-                    // The job is over; the watch will say how.
-                    for (id, _) in &write.jobs {
+                // The jobs are over; the watch will say how.
+                node.with_cluster(|c| {
+                    for (id, _) in &batch.jobs {
                         if failed.contains(&open_key(id)) {
-                            cluster.remove_job(id, now);
+                            c.remove_job(id, now);
                         }
                     }
+                });
+                // Made at an earlier try, it is there now.
+                match unanswered {
+                    false => Some(false),
+                    true => node
+                        .state
+                        .get(Class::Placement, &key)
+                        .await
+                        .ok()
+                        .map(|row| row.is_some()),
                 }
-                Ok(Outcome::NoLease) | Err(Error::Refused) => cluster.unwritten(write, false),
-                Err(Error::Unknown) => cluster.unwritten(write, true),
             }
-        }
-    }
-}
-
-/// Reads records again that an unanswered write may have changed.
-async fn reread(node: &Node) {
-    let unsure = node
-        .with_cluster(|c| c.unsure_records())
-        .unwrap_or_default();
-    for name in unsure {
-        let Ok(row) = node.state.get(Class::Placement, &worker_key(&name)).await else {
-            return;
-        };
-        let (version, attempts) = match row {
-            None => (0, BTreeSet::new()),
-            Some(row) => match serde_json::from_value::<WorkerRecord>(row.value) {
-                Ok(record) => (
-                    row.version,
-                    record.tasks.iter().map(|t| t.attempt).collect(),
-                ),
-                Err(_) => (row.version, BTreeSet::new()),
-            },
+            Ok(Outcome::NoLease) | Err(Error::Refused) if !unanswered => Some(false),
+            Ok(Outcome::NoLease) | Err(Error::Refused) => None,
+            Err(Error::Unknown) => {
+                unanswered = true;
+                None
+            }
         };
-        node.with_cluster(|c| c.reread(&name, version, attempts));
+        if let Some(made) = made {
+            node.with_cluster(|c| {
+                if made {
+                    c.written(&batch, now);
+                } else {
+                    c.unwritten(&batch, now);
+                }
+            });
+            tracing::debug!(batch = &*batch.name, made, "placements");
+            return;
+        }
+        node.with_cluster(|c| c.tick(now));
+        workers::dispatch(node);
+        tokio::time::sleep(node.term_ttl() / 8).await;
     }
 }
 
-/// Removes records of machines that are gone and of jobs that are over.
+/// Removes batches whose attempts are over and pages that hold nothing.
 async fn clean(node: &Node, term_guard: &Guard) {
-    let most = node.settings.deployment.state.txn_ops.min(8);
-    let Some((workers, chunks)) = node.with_cluster(|c| {
-        let workers: Vec<String> = c.orphans.iter().take(most).cloned().collect();
-        let left = most - workers.len();
-        (
-            workers,
-            c.garbage.iter().take(left).cloned().collect::<Vec<_>>(),
-        )
+    let most = node.settings.deployment.state.txn_ops / 2;
+    let Some((batches, pages)) = node.with_cluster(|c| {
+        let batches: Vec<Arc<str>> = c.garbage.iter().take(most).cloned().collect();
+        let pages = c.pages.empty(most - batches.len());
+        (batches, pages)
     }) else {
         return;
     };
-    if workers.is_empty() && chunks.is_empty() {
+    if batches.is_empty() && pages.is_empty() {
         return;
     }
-    let keys = workers
-        .iter()
-        .map(|w| worker_key(w))
-        .chain(chunks.iter().map(|(id, c)| chunk_key(id, *c)));
-    let txn = Transaction {
+    let mut txn = Transaction {
         guards: vec![term_guard.clone()],
-        writes: keys.map(|key| Write::Remove { key }).collect(),
+        writes: Vec::new(),
     };
-    if let Ok(Outcome::Made(_)) = node.state.transact(Class::Progress, &txn).await {
-        node.with_cluster(|c| {
-            c.orphans.retain(|name| !workers.contains(name));
-            c.garbage.retain(|chunk| !chunks.contains(chunk));
+    for name in &batches {
+        let key = batch_key(name);
+        txn.writes.push(Write::Remove { key });
+    }
+    page_writes(&mut txn, &pages);
+    let outcome = node.state.transact(Class::Progress, &txn).await;
+    node.with_cluster(|c| match outcome {
+        Ok(Outcome::Made(revision)) => {
+            for name in &batches {
+                c.garbage.remove(name);
+            }
+            for page in &pages {
+                c.pages.written(page, revision);
+            }
+        }
+        Ok(Outcome::Conflict(_)) | Err(Error::Unknown) => c.pages.doubt(&pages),
+        Ok(Outcome::NoLease) | Err(Error::Refused) => {}
+    });
+}
+
+/// Adds pages to a transaction, each conditioned on its version: a late write
+/// must not land after a newer one.
+fn page_writes(txn: &mut Transaction, pages: &[PageWrite]) {
+    for page in pages {
+        let key = page_key(page.page);
+        txn.guards.push(Guard {
+            key: key.clone(),
+            version: page.version,
+        });
+        txn.writes.push(if page.record.is_empty() {
+            Write::Remove { key }
+        } else {
+            Write::Set {
+                key,
+                value: serde_json::to_value(&page.record).unwrap_or_default(),
+                lease: None,
+            }
         });
     }
 }
@@ -274,148 +301,115 @@
 pub async fn finish(node: &Arc<Node>, term_guard: Guard) {
     let report = node.settings.deployment.workers.report_s;
     let pause = Duration::from_secs_f64(report * 0.05);
-    let most = Duration::from_secs_f64(report * 0.4);
-    let mut wrote = node.now();
+    let between = report * 0.4;
+    let ops = node.settings.deployment.state.txn_ops;
+    let mut flushed = node.now();
     loop {
+        let most = Duration::from_secs_f64(between);
         let _ = tokio::time::timeout(most, node.wake_finish.notified()).await;
-        let now = node.now();
-        let all = now - wrote > report * 0.4;
-        if all {
-            wrote = now;
-        }
-        let due = node.with_cluster(|c| c.finishes(!all)).unwrap_or_default();
-        let (complete, parts): (Vec<Finish>, Vec<Finish>) =
-            due.into_iter().partition(|f| f.complete);
-        for finish in complete {
-            if !complete_job(node, &term_guard, &finish).await {
+        loop {
+            let due = node.with_cluster(|c| c.completions(ops / 2));
+            let due = due.unwrap_or_default();
+            if due.is_empty() || !complete(node, &term_guard, due).await {
                 break;
             }
         }
-        progress(node, &term_guard, parts).await;
+        let now = node.now();
+        if now - flushed > between {
+            flushed = now;
+            reread(node).await;
+            let due = node.with_cluster(|c| c.flush(ops, VALUE_BYTES)).flatten();
+            if let Some(due) = due {
+                progress(node, &term_guard, &due).await;
+            }
+        }
         tokio::time::sleep(pause).await;
     }
 }
 
-/// Calls a job done. Conditioned on its record, as a cancellation is, so that
-/// only one of them comes true.
-async fn complete_job(node: &Node, term_guard: &Guard, finish: &Finish) -> bool {
-    let Some((spec, kept, none_held)) = node
-        .with_cluster(|c| {
-            c.jobs
-                .get(&finish.job)
-                .map(|j| (j.spec.clone(), j.kept_chunks.clone(), j.holds.is_empty()))
-        })
-        .flatten()
-    else {
-        return true;
-    };
-    let tasks = spec.tasks;
-    let over = OverRecord {
-        status: JobStatus::Done,
-        done: tasks,
-        // Second attempts that still run must be counted after a take-over.
-        spec: (!none_held).then(|| (*spec).clone()),
-    };
-    let key = open_key(&finish.job);
+/// Calls jobs done. Conditioned on their records, as a cancellation is, so that
+/// only one of them comes true. Returns whether to go on at once.
+async fn complete(node: &Node, term_guard: &Guard, due: Vec<Completion>) -> bool {
     let mut txn = Transaction {
-        guards: vec![
-            term_guard.clone(),
-            Guard {
-                key: key.clone(),
-                version: finish.version,
-            },
-        ],
-        writes: vec![
-            Write::Remove { key: key.clone() },
-            Write::Set {
-                key: over_key(&finish.job),
-                value: serde_json::to_value(&over).unwrap_or_default(),
-                lease: None,
-            },
-        ],
+        guards: vec![term_guard.clone()],
+        writes: Vec::new(),
     };
-    let room = node.settings.deployment.state.txn_ops - 2;
-    let removed: Vec<u32> = kept.iter().take(room).copied().collect();
-    txn.writes.extend(removed.iter().map(|c| Write::Remove {
-        key: chunk_key(&finish.job, *c),
-    }));
-    match node.state.transact(Class::Users, &txn).await {
+    for job in &due {
+        let over = OverRecord {
+            status: JobStatus::Done,
+            done: job.tasks,
+        };
+        let key = open_key(&job.job);
+        txn.guards.push(Guard {
+            key: key.clone(),
+            version: job.version,
+        });
+        txn.writes.push(Write::Remove { key });
+        txn.writes.push(Write::Set {
+            key: over_key(&job.job),
+            value: serde_json::to_value(&over).unwrap_or_default(),
+            lease: None,
+        });
+    }
+    let outcome = node.state.transact(Class::Users, &txn).await;
+    let now = node.now();
+    match outcome {
         Ok(Outcome::Made(_)) => {
-            let now = node.now();
-            node.with_cluster(|c| {
-                if let Some(job) = c.jobs.get_mut(&finish.job) {
-                    job.kept_chunks.retain(|c| !removed.contains(c));
-                }
-                c.finish_written(finish, now);
-            });
-            node.lock(&node.jobs).put(
-                &finish.job,
-                crate::node::Known::Over(JobStatus::Done, tasks),
-            );
-            tracing::debug!(job = finish.job, "done");
+            for job in &due {
+                node.with_cluster(|c| c.remove_job(&job.job, now));
+                let known = Known::Over(JobStatus::Done, job.tasks);
+                node.lock(&node.jobs).put(&job.job, known);
+                tracing::debug!(job = job.job, "done");
+            }
             node.wake.notify_one();
             true
         }
         Ok(Outcome::Conflict(failed)) => {
             if failed.iter().any(|k| k == TERM_KEY) {
                 node.step_down("a write found another term");
-            } else if failed.contains(&key) {
-                // Cancelled first, or an unanswered try was made after all.
-                let now = node.now();
-                node.with_cluster(|c| c.remove_job(&finish.job, now));
+                return false;
             }
-            true
+            // Cancelled first, or an unanswered try was made after all.
+            let over = due.iter().filter(|j| failed.contains(&open_key(&j.job)));
+            let gone =
+                over.filter(|j| node.with_cluster(|c| c.remove_job(&j.job, now)) == Some(true));
+            gone.count() > 0
         }
         _ => false,
     }
 }
 
-async fn progress(node: &Node, term_guard: &Guard, parts: Vec<Finish>) {
-    let ops = node.settings.deployment.state.txn_ops;
-    let mut batch: Vec<Finish> = Vec::new();
-    let mut used = 0;
-    let mut sets: Vec<Vec<Finish>> = Vec::new();
-    for mut part in parts {
-        part.chunks.truncate(ops);
-        let kept: Vec<u32> = part.chunks.iter().flat_map(|(_, r)| r.iter()).collect();
-        part.tasks.retain(|t| kept.binary_search(t).is_ok());
-        let small = part.chunks.len() <= 4;
-        if used + part.chunks.len() > ops.min(12) || !small {
-            sets.push(std::mem::take(&mut batch));
-            used = 0;
-        }
-        used += part.chunks.len();
-        batch.push(part);
+async fn progress(node: &Node, term_guard: &Guard, flush: &Flush) {
+    if flush.pages.writes.is_empty() {
+        return;
     }
-    sets.push(batch);
-    for set in sets.into_iter().filter(|s| !s.is_empty()) {
-        let mut txn = Transaction {
-            guards: vec![term_guard.clone()],
-            writes: Vec::new(),
+    let mut txn = Transaction {
+        guards: vec![term_guard.clone()],
+        writes: Vec::new(),
+    };
+    page_writes(&mut txn, &flush.pages.writes);
+    let outcome = node.state.transact(Class::Progress, &txn).await;
+    if let Ok(Outcome::Conflict(failed)) = &outcome
+        && failed.iter().any(|k| k == TERM_KEY)
+    {
+        node.step_down("a write found another term");
+        return;
+    }
+    node.with_cluster(|c| match outcome {
+        Ok(Outcome::Made(revision)) => c.flushed(flush, revision),
+        Ok(Outcome::Conflict(_)) | Err(Error::Unknown) => c.pages.failed(&flush.pages, true),
+        Ok(Outcome::NoLease) | Err(Error::Refused) => c.pages.failed(&flush.pages, false),
+    });
+}
+
+/// Reads the versions of pages again that an unanswered write may have changed.
+async fn reread(node: &Node) {
+    let unsure = node.with_cluster(|c| c.pages.unsure()).unwrap_or_default();
+    for page in unsure {
+        let Ok(row) = node.state.get(Class::Progress, &page_key(page)).await else {
+            return;
         };
-        for finish in &set {
-            for (chunk, ranges) in &finish.chunks {
-                txn.writes.push(Write::Set {
-                    key: chunk_key(&finish.job, *chunk),
-                    value: serde_json::to_value(ranges).unwrap_or_default(),
-                    lease: None,
-                });
-            }
-        }
-        match node.state.transact(Class::Progress, &txn).await {
-            Ok(Outcome::Made(_)) => {
-                let now = node.now();
-                node.with_cluster(|c| {
-                    for finish in &set {
-                        c.finish_written(finish, now);
-                    }
-                });
-            }
-            Ok(Outcome::Conflict(failed)) if failed.iter().any(|k| k == TERM_KEY) => {
-                node.step_down("a write found another term");
-                return;
-            }
-            _ => return,
-        }
+        let version = row.map_or(0, |r| r.version);
+        node.with_cluster(|c| c.pages.read(page, version));
     }
 }
--- a/crates/tallygauge/src/leader.rs
+++ b/crates/tallygauge/src/leader.rs
@@ -2,18 +2,15 @@
 
 use crate::{
     cloud, control,
-    node::{LEADER_KEY, Lead, Node, TERM_KEY, over_key},
-    users::{OpenRecord, OverRecord},
+    node::{LEADER_KEY, Lead, Node, TERM_KEY},
+    users::OpenRecord,
     workers,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::{collections::HashMap, sync::Arc, time::Duration};
-use tallygauge_sched::{Cluster, RangeSet, WorkerRecord};
+use tallygauge_sched::{BatchRecord, Cluster, PageRecord, RangeSet};
 use tallygauge_state::{Class, Error, Outcome, Watched};
-use tallygauge_wire::{
-    state::{Change, Guard, Transaction, Write},
-    users::JobSpec,
-};
+use tallygauge_wire::state::{Change, Guard, Transaction, Write};
 
 /// Value of the leased leader key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -268,71 +265,54 @@
     );
 }
 
+/// A record's value, or a complaint: what can't be read must not be passed over.
+fn read<T: DeserializeOwned>(key: &str, value: serde_json::Value) -> Result<T, Error> {
+    serde_json::from_value(value).map_err(|error| {
+        tracing::error!(%error, key, "a record can't be read");
+        Error::Unknown
+    })
+}
+
 /// Reads jobs, finished tasks and placements into a picture. Returns the
 /// revision from which jobs must be watched.
 async fn load(node: &Node, term: u64) -> Result<u64, Error> {
     let class = Class::Leadership;
     let (open, revision) = node.state.list(class, "o/").await?;
-    let (chunks, _) = node.state.list(class, "f/").await?;
-    let (records, _) = node.state.list(class, "p/").await?;
-    let mut done: HashMap<String, RangeSet> = HashMap::new();
-    let mut garbage = Vec::new();
-    for row in chunks {
-        let mut parts = row.key.split('/').skip(1);
-        let (Some(id), Some(chunk)) = (parts.next(), parts.next().and_then(|c| c.parse().ok()))
-        else {
-            continue;
-        };
-        let ranges: RangeSet = serde_json::from_value(row.value).map_err(|error| {
-            tracing::error!(%error, key = row.key, "finished tasks can't be read");
-            Error::Unknown
-        })?;
-        garbage.push((id.to_string(), chunk));
-        done.entry(id.to_string())
-            .or_default()
-            .extend(&ranges, u32::MAX);
-    }
+    let (pages, _) = node.state.list(class, "f/").await?;
+    let (batches, _) = node.state.list(class, "p/").await?;
     let now = node.now();
     let time_of_day = Node::time_of_day();
-    let mut cluster = Cluster::new(node.sched_config(term), now, node.chunk());
+    let page_bytes = control::record_bytes(node);
+    let mut cluster = Cluster::new(node.sched_config(term), now, node.chunk(), page_bytes);
     if let Some(types) = node.lock(&node.catalogue).clone() {
         cluster.set_types(&types);
     }
-    let mut specs: HashMap<String, Arc<JobSpec>> = HashMap::new();
+    let mut done: HashMap<String, RangeSet> = HashMap::new();
+    for row in pages {
+        let Some(page) = row.key.strip_prefix("f/").and_then(|n| n.parse().ok()) else {
+            continue;
+        };
+        let record: PageRecord = read(&row.key, row.value)?;
+        for ((id, _), ranges) in cluster.pages.load(page, row.version, record) {
+            done.entry(id).or_default().extend(&ranges, u32::MAX);
+        }
+    }
     for row in open {
-        let record: OpenRecord = serde_json::from_value(row.value).map_err(|error| {
-            tracing::error!(%error, key = row.key, "an open job can't be read");
-            Error::Unknown
-        })?;
-        let id = record.spec.id.clone();
+        let record: OpenRecord = read(&row.key, row.value)?;
         let none = RangeSet::default();
-        let finished = done.get(&id).unwrap_or(&none);
-        specs.insert(id, Arc::new(record.spec.clone()));
+        let finished = done.get(&record.spec.id).unwrap_or(&none);
         let accepted = now - (time_of_day - record.at).max(0.0);
         cluster.add_job(record.spec, row.version, accepted, finished);
     }
-    garbage.retain(|(id, _)| !cluster.jobs.contains_key(id));
-    cluster.garbage = garbage;
-    for row in records {
-        let Some(name) = row.key.strip_prefix("p/") else {
-            continue;
-        };
-        let record: WorkerRecord = serde_json::from_value(row.value).map_err(|error| {
-            tracing::error!(%error, key = row.key, "placements can't be read");
-            Error::Unknown
-        })?;
-        // Tasks of jobs that are over may still be on the machine, and count.
-        for task in &record.tasks {
-            if !specs.contains_key(&task.job)
-                && let Some(over) = node.state.get(class, &over_key(&task.job)).await?
-                && let Ok(OverRecord {
-                    spec: Some(spec), ..
-                }) = serde_json::from_value(over.value)
-            {
-                specs.insert(task.job.clone(), Arc::new(spec));
-            }
+    let jobs = &cluster.jobs;
+    cluster.pages.retain(|id| jobs.contains_key(id));
+    for row in batches {
+        let record: BatchRecord = read(&row.key, row.value)?;
+        if let Some(name) = row.key.strip_prefix("p/") {
+            cluster.inherit(name, &record, now, time_of_day);
         }
-        cluster.inherit(name, &record, row.version, &specs, now, time_of_day);
+        // Users and workers are not kept waiting by many.
+        tokio::task::yield_now().await;
     }
     let (jobs, machines) = (cluster.jobs.len(), cluster.workers.len());
     cluster.term_at = node.now();
--- a/crates/tallygauge/src/node.rs
+++ b/crates/tallygauge/src/node.rs
@@ -19,6 +19,9 @@
 /// Key of the persistent term.
 pub const TERM_KEY: &str = "t/term";
 
+/// Bytes that a task takes in a worker's report, at most.
+const TASK_REPORT_BYTES: usize = 160;
+
 /// Key of an open job.
 #[must_use]
 pub fn open_key(id: &str) -> String {
@@ -31,15 +34,15 @@
     format!("j/{id}")
 }
 
-/// Key of a chunk of a job's finished tasks.
+/// Key of a page of finished tasks.
 #[must_use]
-pub fn chunk_key(id: &str, chunk: u32) -> String {
-    format!("f/{id}/{chunk}")
+pub fn page_key(page: u32) -> String {
+    format!("f/{page}")
 }
 
-/// Key of a worker's placements.
+/// Key of a batch of placements.
 #[must_use]
-pub fn worker_key(name: &str) -> String {
+pub fn batch_key(name: &str) -> String {
     format!("p/{name}")
 }
 
@@ -48,6 +51,8 @@
 pub enum Known {
     /// Open, its record having this version when last read.
     Open(u64),
+    /// It was open, and its record is not as it was.
+    Stale,
     /// Over; this never changes again.
     Over(JobStatus, u32),
 }
@@ -94,7 +99,7 @@
     /// Forgets an open job that is not as it was.
     pub fn forget_open(&mut self, id: &str, version: u64) {
         if self.known.get(id) == Some(&Known::Open(version)) {
-            self.known.insert(id.to_string(), Known::Open(u64::MAX));
+            self.known.insert(id.to_string(), Known::Stale);
         }
     }
 }
@@ -289,17 +294,18 @@
                 .filter(|o| o.kind == "finished")
                 .filter_map(|o| Some((o.class.clone()?, o.within_s?)))
                 .collect(),
-            tasks_per_worker: ((d.state.value_kb * 1024.0 * 0.9) as usize
-                / tallygauge_sched::TASK_RECORD_BYTES)
-                .max(1),
+            // A report must fit a request's body.
+            tasks_per_worker: tallygauge_wire::BODY_LIMIT / TASK_REPORT_BYTES,
+            most_direct: (d.quota.sockets as usize / 16).max(8),
             term,
         }
     }
 
-    /// Tasks whose ends share a record: at worst seven bytes each.
+    /// Tasks whose ends share a part of a page: at worst seven bytes each, so
+    /// that a page takes several parts.
     #[must_use]
     pub fn chunk(&self) -> u32 {
-        ((self.settings.deployment.state.value_kb * 1024.0 / 10.0) as u32).max(16)
+        ((self.settings.deployment.state.value_kb * 1024.0 / 40.0) as u32).max(16)
     }
 
     /// Locks something for a moment.
--- a/crates/tallygauge/src/users.rs
+++ b/crates/tallygauge/src/users.rs
@@ -28,9 +28,6 @@
     pub status: JobStatus,
     /// Tasks done.
     pub done: u32,
-    /// Kept where tasks of the job may still be on machines.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub spec: Option<JobSpec>,
 }
 
 /// An answer to a user.
@@ -93,11 +90,13 @@
     let most = node.settings.deployment.state.txn_ops * 4;
     let turns = Arc::new(Semaphore::new(3));
     while let Some(first) = questions.recv().await {
+        // Whoever asks meanwhile shares the request: polls take a good half of
+        // the request budget at most, however many they are.
+        let window = 1.0 / node.state.budget().request_rate().max(1.0);
+        tokio::time::sleep(Duration::from_secs_f64(window.min(0.1))).await;
         let Ok(turn) = turns.clone().acquire_owned().await else {
             return;
         };
-        // Whoever asks within these few milliseconds shares the request.
-        tokio::time::sleep(Duration::from_millis(5)).await;
         let mut count = first.guards.len();
         let mut batch = vec![first];
         while count + 2 <= most {
@@ -170,13 +169,13 @@
         let known = node.lock(&node.jobs).get(id);
         match known {
             Some(Known::Over(status, done)) => return Some(Found::Over(status, done)),
-            Some(Known::Open(version)) if version != u64::MAX => {
+            Some(Known::Open(version)) => {
                 if ask(node, vec![guard(open_key(id), version)]).await?[0] {
                     return Some(Found::Open);
                 }
                 node.lock(&node.jobs).forget_open(id, version);
             }
-            _ => {
+            Some(Known::Stale) | None => {
                 let verdict =
                     ask(node, vec![guard(open_key(id), 0), guard(over_key(id), 0)]).await?;
                 if verdict[0] && verdict[1] {
@@ -366,7 +365,6 @@
             } else {
                 done
             },
-            spec: Some(record.spec),
         };
         let Ok(value) = serde_json::to_value(&over) else {
             return later();
