--- a/crates/tallygauge-sched/src/pages.rs
+++ b/crates/tallygauge-sched/src/pages.rs
@@ -250,3 +250,102 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const LIMIT: usize = 220;
+
+    /// What the state service has: record and version by page.
+    type Kept = BTreeMap<u32, (PageRecord, u64)>;
+
+    fn keep(kept: &mut Kept, write: &PageWrite, revision: u64) {
+        if write.record.is_empty() {
+            kept.remove(&write.page);
+        } else {
+            kept.insert(write.page, (write.record.clone(), revision));
+        }
+    }
+
+    fn union(kept: &Kept) -> BTreeMap<String, BTreeSet<u32>> {
+        let mut out: BTreeMap<String, BTreeSet<u32>> = BTreeMap::new();
+        for (record, _) in kept.values() {
+            for (part, ranges) in record {
+                out.entry(part.clone()).or_default().extend(ranges.iter());
+            }
+        }
+        out
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 96, rng_seed: proptest::test_runner::RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default() })]
+        // What was once durable stays so, whatever becomes of later writes and
+        // wherever parts move; a page never outgrows its limit while it holds
+        // several parts.
+        #[test]
+        fn what_is_durable_stays_so(steps in prop::collection::vec((0usize..6, 0u32..60, 0u8..5), 1..80)) {
+            let mut pages = Pages::new(LIMIT);
+            let mut kept = Kept::new();
+            let mut finished: BTreeMap<Part, RangeSet> = BTreeMap::new();
+            let mut dirty: BTreeSet<Part> = BTreeSet::new();
+            let mut durable: BTreeMap<String, BTreeSet<u32>> = BTreeMap::new();
+            let mut revision = 10;
+            for (job, task, what) in steps {
+                let part: Part = (format!("req-{job}"), 0);
+                finished.entry(part.clone()).or_default().insert(task * 2);
+                dirty.insert(part);
+                let changed: Vec<Part> = dirty.iter().cloned().collect();
+                let flush = pages.write(&changed, 3, 10_000, |p| finished[p].clone());
+                prop_assert!(flush.writes.len() <= 3);
+                for write in &flush.writes {
+                    let bytes = serde_json::to_string(&write.record).unwrap().len();
+                    prop_assert!(bytes <= LIMIT + 8 || write.record.len() == 1, "{bytes} bytes");
+                    let version = kept.get(&write.page).map_or(0, |k| k.1);
+                    prop_assert_eq!(write.version, version, "conditioned on what is there");
+                }
+                revision += 1;
+                // 0: refused. 1: made, but the answer is lost. Else made.
+                if what > 0 {
+                    for write in &flush.writes { keep(&mut kept, write, revision); }
+                }
+                match what {
+                    0 => pages.failed(&flush, false),
+                    1 => {
+                        pages.failed(&flush, true);
+                        for page in pages.unsure() {
+                            let version = kept.get(&page).map_or(0, |k| k.1);
+                            pages.read(page, version);
+                        }
+                    }
+                    _ => {
+                        for write in &flush.writes { pages.written(write, revision); }
+                        for part in &flush.parts {
+                            durable.insert(name(part), finished[part].iter().collect());
+                            dirty.remove(part);
+                        }
+                    }
+                }
+                let there = union(&kept);
+                for (part, tasks) in &durable {
+                    prop_assert!(there.get(part).is_some_and(|t| t.is_superset(tasks)), "{part} lost tasks");
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn pages_of_jobs_that_are_over_are_removed() {
+        let mut pages = Pages::new(LIMIT);
+        let part: Part = ("req-1".into(), 0);
+        let flush = pages.write(&[part.clone()], 3, 1000, |_| RangeSet::first(3));
+        pages.written(&flush.writes[0], 7);
+        assert!(pages.empty(9).is_empty());
+        pages.forget("req-1", 1);
+        let empty = pages.empty(9);
+        assert_eq!((empty.len(), empty[0].version), (1, 7));
+        pages.written(&empty[0], 8);
+        assert!(pages.empty(9).is_empty());
+    }
+}
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -770,3 +770,120 @@
     c.attempt();
     assert!(c.out_of_attempts());
 }
+
+/// Machines that are up, of both types and zones, spot and not.
+fn fleet(count: usize) -> Vec<String> {
+    let kinds = ["s{}a", "s{}b", "l{}a", "l{}b", "ss{}a", "ls{}b"];
+    (0..count)
+        .map(|n| kinds[n % kinds.len()].replace("{}", &n.to_string()))
+        .collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 12, rng_seed: proptest::test_runner::RngSeed::Fixed(23), failure_persistence: None, ..ProptestConfig::default() })]
+    // The kept order of spots is worth nothing if it drifts from the plain
+    // order once many tasks and machines have gone by.
+    #[test]
+    fn on_a_larger_cluster_the_mapping_is_that_of_the_plain_model(jobs in prop::collection::vec(any_job(), 20..30)) {
+        let names = fleet(40);
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut c = cluster(&names, 100.0);
+        for team in &mut c.cfg.teams { team.cpus_max = 120.0; }
+        for (n, (tasks, cpus, priority, image, expected, blue, spot, deadline)) in jobs.into_iter().enumerate() {
+            let mut s = spec(n, tasks * 2, f64::from(cpus) * 0.5);
+            s.priority = [Priority::Low, Priority::Normal, Priority::High, Priority::Production][usize::from(priority)];
+            s.image = format!("i{image}");
+            s.expected_s = expected;
+            s.spot = spot;
+            s.deadline_s = deadline;
+            if blue { s.team = "blue".into(); }
+            c.add_job(s, 1, 3.0 * n as f64, &RangeSet::default());
+        }
+        let expected = plain(&c, 100.0);
+        prop_assert!(expected.len() > 50);
+        c.plan(100.0, false);
+        let mut real: Vec<(u64, (String, u32, String))> = c.workers.values().flat_map(|w| w.held.iter().map(|h| (h.attempt, (h.spec.id.clone(), h.index, w.name.clone())))).collect();
+        real.sort();
+        prop_assert_eq!(real.into_iter().map(|r| r.1).collect::<Vec<_>>(), expected);
+    }
+}
+
+#[test]
+fn a_round_s_placements_come_back_from_their_batches() {
+    // However they are split into records, each holds to its limits, and a new
+    // leader finds every attempt where it was placed.
+    let names = fleet(30);
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut c = cluster(&names, 100.0);
+    c.cfg.teams[0].cpus_max = 500.0;
+    for n in 0..12 {
+        c.add_job(spec(n, 10, 1.0), 5, 90.0, &RangeSet::default());
+    }
+    assert_eq!(c.plan(100.0, false).0, 120);
+    let batches = c.batches(1500, 4, 1000.0);
+    assert!(batches.len() > 3);
+    let mut next = cluster(&[], 200.0);
+    for n in 0..11 {
+        next.add_job(spec(n, 10, 1.0), 5, 190.0, &RangeSet::default());
+    }
+    for batch in &batches {
+        assert!(serde_json::to_string(&batch.record).unwrap().len() <= 1500);
+        assert!(batch.jobs.len() <= 4 && batch.jobs.iter().all(|j| j.1 == 5));
+        c.written(batch, 100.0);
+        next.inherit(&batch.name, &batch.record, 200.0, 1100.0);
+    }
+    let held = |c: &Cluster| {
+        let mut out: Vec<(String, String, u64)> = c
+            .workers
+            .values()
+            .flat_map(|w| {
+                w.held
+                    .iter()
+                    .map(|h| (w.name.clone(), h.task_name(), h.attempt))
+            })
+            .collect();
+        out.sort();
+        out
+    };
+    assert_eq!(held(&c).len(), 120);
+    assert_eq!(held(&c), held(&next));
+    // The job that is over counts as well, until its tasks are surely gone.
+    assert!((next.ledgers[0].cpus - 120.0).abs() < 1e-6);
+    assert_eq!(next.batches.len(), batches.len());
+}
+
+#[test]
+fn one_job_s_need_for_room_does_not_stop_more_than_its_team_may_use() {
+    // Room was made anew for every task that waited, whether its team's limit
+    // left room for it or not.
+    let mut c = cluster(&["l1a", "l2b"], 100.0);
+    c.cfg.teams[1].cpus_max = 4.0;
+    let mut low = spec(1, 16, 2.0);
+    low.priority = Priority::Low;
+    c.cfg.teams[0].cpus_max = 100.0;
+    c.add_job(low, 1, 90.0, &RangeSet::default());
+    assert_eq!(round(&mut c, 100.0).len(), 16);
+    for (seq, m) in ["l1a", "l2b"].into_iter().enumerate() {
+        let running = start_of(&c, m, 100.0);
+        let running = running
+            .iter()
+            .map(|h| task(&h.0, h.1, TaskState::Running, None))
+            .collect();
+        c.on_report(
+            101.0,
+            &report(m, 1, 5 + seq as u64, TERM, running),
+            Source::CheckIn,
+        );
+    }
+    let mut high = spec(2, 30, 1.0);
+    (high.priority, high.team) = (Priority::High, "blue".into());
+    c.add_job(high, 1, 101.0, &RangeSet::default());
+    round(&mut c, 102.0);
+    let stops = |c: &Cluster| {
+        let held = c.workers.values().flat_map(|w| &w.held);
+        held.filter(|h| h.stop.is_some()).count()
+    };
+    assert_eq!(stops(&c), 2, "four CPUs may be used, two tasks hold them");
+    round(&mut c, 102.5);
+    assert_eq!(stops(&c), 2, "room that is being made is not made twice");
+}
