Machines beyond open work and its greatest rise within a boot go when empty

Ruled out: renting less (by what open work needs at a time, or by more of the slack): the fleet is in use until demand falls.

Now machines beyond demand plus its greatest rise within a boot, of 6 boots past, by size of machine, are the last choice for new tasks and go as soon as they are empty; dear and little used ones first. The reserve is measured, so small deployments, whose demand leaps, keep what they kept. Machines below the least charge stay.

--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -1,6 +1,6 @@
 //! The leader's picture of jobs, workers and teams.
 
-use crate::{model::*, pages::Pages, placements::before_first, ranges::RangeSet};
+use crate::{model::*, pages::Pages, placements::before_first, ranges::RangeSet, surplus::Rises};
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
@@ -52,6 +52,9 @@
     pub(crate) attention: BTreeSet<String>,
     /// Direct messages under way.
     pub(crate) direct_under_way: usize,
+    /// By place of a machine type in order of size: demand for machines at
+    /// least as large.
+    pub(crate) rises: Vec<Rises>,
     /// The earliest backoff end that the last round met.
     pub(crate) wake_at: Option<f64>,
     /// What happened and an operator may want to know, for the log: whether it
@@ -89,6 +92,7 @@
             dirty_jobs: BTreeSet::new(),
             attention: BTreeSet::new(),
             direct_under_way: 0,
+            rises: Vec::new(),
             wake_at: None,
             events: Vec::new(),
             changed: true,
--- a/crates/tallygauge-sched/src/demand.rs
+++ b/crates/tallygauge-sched/src/demand.rs
@@ -303,7 +303,7 @@
             if worker.leaving.is_none()
                 && empty
                 && worker.fenced_at.is_some()
-                && usable_for > boot_s * patience
+                && (usable_for > boot_s * patience || worker.surplus)
             {
                 worker.leaving = Some((LeaveReason::Idle, now));
             }
--- a/crates/tallygauge-sched/src/lib.rs
+++ b/crates/tallygauge-sched/src/lib.rs
@@ -16,6 +16,7 @@
 mod progress;
 mod ranges;
 mod reports;
+mod surplus;
 #[cfg(test)]
 mod tests;
 
--- a/crates/tallygauge-sched/src/machines.rs
+++ b/crates/tallygauge-sched/src/machines.rs
@@ -49,6 +49,7 @@
                 free,
                 images: Images::default(),
                 leaving: None,
+                surplus: false,
                 return_sent: false,
                 direct_busy: false,
                 direct_failures: 0,
--- a/crates/tallygauge-sched/src/mapping.rs
+++ b/crates/tallygauge-sched/src/mapping.rs
@@ -271,9 +271,15 @@
 
     /// What counts between workers that are about as good, in seconds: small
     /// ones and full ones come first, so that large rooms are kept for large
-    /// tasks and machines fall empty.
-    pub(crate) fn packing(&self, size: f64, free: f64, largest: f64) -> f64 {
-        self.cfg.floor_s * 0.5 * (size + free) / (2.0 * largest)
+    /// tasks and machines fall empty. Surplus machines come last: their use
+    /// may cost another boot later.
+    pub(crate) fn packing(&self, worker: &Worker, size: f64, free: f64, largest: f64) -> f64 {
+        let boot_s = self
+            .types
+            .get(&worker.machine_type)
+            .map_or(0.0, |t| t.boot_s);
+        let last = if worker.surplus { boot_s } else { 0.0 };
+        last + self.cfg.floor_s * 0.5 * (size + free) / (2.0 * largest)
     }
 
     /// One round: places waiting tasks, greatest UPT first, as `Planned`, and
@@ -481,7 +487,7 @@
         let time = self.c.time_on(&group, s.worker, &s.images, self.now);
         let size = self.types[s.of_type].cpus;
         Some(Entry {
-            cost: time + self.c.packing(size, s.room.cpus, self.largest),
+            cost: time + self.c.packing(s.worker, size, s.room.cpus, self.largest),
             slot,
             version: s.version,
         })
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -448,6 +448,9 @@
     pub images: Images,
     /// To be returned, and since when.
     pub leaving: Option<(LeaveReason, f64)>,
+    /// More than open work needs: the last choice for new tasks, and returned
+    /// as soon as it is empty.
+    pub surplus: bool,
     /// The return was sent; the machine may go at any time.
     pub return_sent: bool,
     /// A direct message waits for an answer.
--- /dev/null
+++ b/crates/tallygauge-sched/src/surplus.rs
@@ -0,0 +1,116 @@
+//! Machines that are more than open work needs, counting what it may rise by
+//! before others could boot.
+//!
+//! Small tasks spread over many machines keep all of them from falling empty.
+//! Surplus ones, dear and little used first, are the last choice for new tasks,
+//! and go as soon as they are empty.
+
+use crate::{cluster::Cluster, model::*};
+use std::collections::VecDeque;
+
+/// A machine that is returned earlier is charged for this long all the same.
+const LEAST_CHARGE_S: f64 = 60.0;
+
+/// Boot times over which rises of demand are remembered.
+const MEMORY_BOOTS: f64 = 6.0;
+
+/// Demand over time, and what it rose by within a boot.
+#[derive(Debug, Default)]
+pub(crate) struct Rises {
+    /// Time and CPUs wanted.
+    demand: VecDeque<(f64, f64)>,
+    /// Time and rise.
+    rises: VecDeque<(f64, f64)>,
+}
+
+impl Rises {
+    /// Notes demand, and returns the greatest rise that is remembered.
+    fn note(&mut self, now: f64, demand: f64, boot_s: f64) -> f64 {
+        while self.demand.front().is_some_and(|d| d.0 < now - boot_s) {
+            self.demand.pop_front();
+        }
+        self.demand.push_back((now, demand));
+        let least = self.demand.iter().map(|d| d.1).fold(demand, f64::min);
+        let horizon = now - boot_s * MEMORY_BOOTS;
+        while self.rises.front().is_some_and(|r| r.0 < horizon) {
+            self.rises.pop_front();
+        }
+        self.rises.push_back((now, demand - least));
+        self.rises.iter().map(|r| r.1).fold(0.0, f64::max)
+    }
+}
+
+impl Cluster {
+    /// Marks the machines that are surplus. To be called about once a report
+    /// interval.
+    pub fn balance(&mut self, now: f64) {
+        let mut types: Vec<(f64, String)> = self
+            .types
+            .values()
+            .map(|t| (t.cpus, t.name.clone()))
+            .collect();
+        types.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let boot_s = self.types.values().map(|t| t.boot_s).fold(0.0, f64::max);
+        // By place of a type in order of size: what only machines at least as
+        // large can serve, and what there is of those.
+        let mut wanted = vec![0.0; types.len()];
+        for job in self.jobs.values() {
+            let holds = |t: &(f64, String)| Room::of_type(&self.types[&t.1]).holds(&job.spec);
+            if let Some(least) = types.iter().position(holds) {
+                let most = self.cfg.teams[job.team].cpus_max;
+                let cpus = (job.spec.cpus * f64::from(job.unfinished())).min(most);
+                wanted[..=least].iter_mut().for_each(|w| *w += cpus);
+            }
+        }
+        let place = |w: &Worker| types.iter().position(|t| t.1 == w.machine_type);
+        let mut over = vec![0.0; types.len()];
+        for w in self.workers.values().filter(|w| w.usable(now, &self.cfg)) {
+            if let Some(at) = place(w) {
+                over[..=at].iter_mut().for_each(|o| *o += types[at].0);
+            }
+        }
+        self.rises.resize_with(types.len(), Rises::default);
+        for (at, rises) in self.rises.iter_mut().enumerate() {
+            over[at] -= wanted[at] + rises.note(now, wanted[at], boot_s);
+        }
+        // A leader new in office has seen no rises yet.
+        if now - self.term_at < boot_s * 2.0 {
+            return;
+        }
+        let mut dear: Vec<(bool, f64, usize, &str)> = self
+            .workers
+            .values()
+            .filter(|w| w.usable(now, &self.cfg) && now - w.rented_at > LEAST_CHARGE_S)
+            .filter_map(|w| {
+                let at = place(w)?;
+                let t = self.types.get(&w.machine_type)?;
+                let price = if w.spot { t.spot_price } else { t.price };
+                let unused = w.free.cpus / t.cpus.max(1.0);
+                Some((
+                    w.surplus,
+                    price / t.cpus.max(1.0) * unused,
+                    at,
+                    w.name.as_str(),
+                ))
+            })
+            .collect();
+        // Those that were surplus before stay so, lest all stay half full.
+        dear.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)).then(a.3.cmp(b.3)));
+        let mut marks = Vec::new();
+        for (before, _, at, name) in dear {
+            let cpus = types[at].0;
+            let surplus = over[..=at].iter().all(|o| *o >= cpus);
+            if surplus {
+                over[..=at].iter_mut().for_each(|o| *o -= cpus);
+            }
+            if surplus != before {
+                marks.push((name.to_string(), surplus));
+            }
+        }
+        for (name, surplus) in marks {
+            if let Some(worker) = self.workers.get_mut(&name) {
+                worker.surplus = surplus;
+            }
+        }
+    }
+}
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -203,7 +203,7 @@
                 }
                 let time = c.time_on(&group, w, &w.images, now);
                 let size = if w.machine_type == "large" { 16.0 } else { 4.0 };
-                let score = time + c.packing(size, room.cpus, largest);
+                let score = time + c.packing(w, size, room.cpus, largest);
                 if spot.as_ref().is_none_or(|s| score < s.0) {
                     spot = Some((score, c.worth(job, now + time * 0.5) / time, name.clone()));
                 }
@@ -887,3 +887,64 @@
     round(&mut c, 102.5);
     assert_eq!(stops(&c), 2, "room that is being made is not made twice");
 }
+
+#[test]
+fn machines_beyond_what_work_may_rise_to_go_when_empty() {
+    // A thousand machines were kept for the idle wait, and half full for long
+    // after, when work had fallen to a third for good.
+    let names: Vec<String> = (0..10).map(|n| format!("l{n}a")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut c = cluster(&names, 100.0);
+    c.cfg.teams[0].cpus_max = 200.0;
+    let (mut now, mut seq) = (100.0, 10);
+    let mut turn = |c: &mut Cluster, until: f64| {
+        while now < until {
+            now += 1.0;
+            seq += 1;
+            for name in &names {
+                if c.workers.contains_key(*name) {
+                    c.on_report(now, &report(name, 1, seq, TERM, vec![]), Source::CheckIn);
+                }
+            }
+            c.balance(now);
+        }
+        now
+    };
+    let surplus = |c: &Cluster| c.workers.values().filter(|w| w.surplus).count();
+    // 128 of 160 CPUs are wanted, and as many came within a boot not long ago.
+    turn(&mut c, 105.0);
+    c.add_job(spec(1, 128, 1.0), 1, 105.0, &RangeSet::default());
+    turn(&mut c, 200.0);
+    assert_eq!(surplus(&c), 0);
+    // The rise is forgotten after some boots: two machines are more than needed.
+    let now = turn(&mut c, 330.0);
+    assert_eq!(surplus(&c), 2);
+    // New tasks go elsewhere while there is room.
+    let spare: Vec<String> = c
+        .workers
+        .values()
+        .filter(|w| w.surplus)
+        .map(|w| w.name.clone())
+        .collect();
+    let placed = round(&mut c, now);
+    assert_eq!(placed.len(), 128);
+    assert!(placed.iter().all(|p| !spare.contains(&p.2)));
+    // Empty, they go at once; the others stay.
+    let due: Vec<String> = c.returns(now).into_iter().map(|d| d.0).collect();
+    assert_eq!(due, spare);
+    // Work that comes back takes them into use again.
+    let mut c = cluster(&names, 100.0);
+    c.cfg.teams[0].cpus_max = 200.0;
+    for w in c.workers.values_mut() {
+        w.surplus = true;
+    }
+    c.add_job(spec(2, 20, 8.0), 1, now, &RangeSet::default());
+    c.balance(100.0 + 60.5);
+    for (n, name) in names.iter().enumerate() {
+        let r = report(name, 1, 900 + n as u64, TERM, vec![]);
+        c.on_report(161.0, &r, Source::CheckIn);
+    }
+    c.balance(161.0);
+    assert_eq!(surplus(&c), 0);
+    assert_eq!(round(&mut c, 161.0).len(), 20);
+}
--- a/crates/tallygauge/src/cloud.rs
+++ b/crates/tallygauge/src/cloud.rs
@@ -109,6 +109,8 @@
     let mut pending: Option<Pending> = None;
     let mut booked = 0u64;
     let began = node.now();
+    let balance_every = node.settings.deployment.workers.report_s * 0.5;
+    let mut balanced = f64::NEG_INFINITY;
     loop {
         let wait = Duration::from_secs_f64(list_every * 0.5);
         let _ = tokio::time::timeout(wait, node.wake_cloud.notified()).await;
@@ -127,6 +129,11 @@
             }
             tokio::time::sleep(pause).await;
         }
+        let now = node.now();
+        if now - balanced > balance_every {
+            balanced = now;
+            node.with_cluster(|c| c.balance(now));
+        }
         give_back(node, pause).await;
         if pending.is_none() && listed.is_finite() {
             // What the leader before asked for last may not be listed yet.
