--- a/crates/tallygauge-sched/src/mapping.rs
+++ b/crates/tallygauge-sched/src/mapping.rs
@@ -659,7 +659,7 @@
 
     /// The victims on a slot that would make room for a task of the group, and
     /// the UPT that they cost.
-    fn price(&self, group: &Group, slot: usize) -> Option<(f64, usize)> {
+    fn price(&self, group: &Group, slot: usize) -> Option<f64> {
         let s = &self.slots[slot];
         let spec = &group.job.spec;
         if s.victims.is_empty() || !self.allowed(group, slot) {
@@ -667,7 +667,7 @@
         }
         let time = self.c.time_on(group, s.worker, &s.images, self.now);
         let worth = self.c.worth(group.job, self.now + time * 0.5);
-        let (mut would, mut cost, mut count) = (s.soon, 0.0, 0);
+        let (mut would, mut cost) = (s.soon, 0.0);
         for victim in &s.victims {
             if would.holds(spec) {
                 break;
@@ -675,10 +675,9 @@
             if self.may_stop(group, victim, worth, time) {
                 would.add(&victim.1.spec, 1.0);
                 cost += victim.0;
-                count += 1;
             }
         }
-        would.holds(spec).then_some((cost, count))
+        would.holds(spec).then_some(cost)
     }
 
     fn may_stop(&self, group: &Group, victim: &(f64, &Held, usize), worth: f64, time: f64) -> bool {
@@ -728,7 +727,7 @@
         }
         let mut heap: BinaryHeap<Entry> = (0..self.slots.len())
             .filter_map(|slot| {
-                let (cost, _) = self.price(group, slot)?;
+                let cost = self.price(group, slot)?;
                 let version = self.slots[slot].version;
                 Some(Entry {
                     cost,
@@ -740,7 +739,7 @@
         while need > 0 {
             let Some(best) = heap.pop() else { return };
             // Since it was priced, its team may have come down to its guarantee.
-            let Some((cost, _)) = self.price(group, best.slot) else {
+            let Some(cost) = self.price(group, best.slot) else {
                 continue;
             };
             if cost > best.cost {
@@ -755,7 +754,7 @@
                 self.promise(group.job, best.slot);
                 need -= 1;
             }
-            if let Some((cost, _)) = self.price(group, best.slot) {
+            if let Some(cost) = self.price(group, best.slot) {
                 heap.push(Entry { cost, ..best });
             }
         }
