Small machines free large ones that others wait for; reports with nothing new are short

Now, where no machine large enough can be had, small ones are rented for what runs on large ones and does not need them, and small tasks leave machines alone that others wait for while smaller ones are about as good.

--- a/crates/tallygauge-sched/src/commands.rs
+++ b/crates/tallygauge-sched/src/commands.rs
@@ -41,22 +41,24 @@
             });
         }
         for held in worker.held.iter().filter(|h| h.session == worker.session) {
-            let (task, attempt) = (held.task_name(), held.attempt);
+            let attempt = held.attempt;
             match (held.phase, held.stop) {
                 (Phase::Recorded, None) if !held.inherited => {
+                    let task = held.task_name();
                     out.push(Command::Start { task, attempt });
                 }
                 (Phase::Recorded | Phase::On(_), Some(stop)) if held.sent => {
                     let grace_s = grace(held, stop, now);
                     if held.phase != Phase::On(TaskState::Saving) || grace_s == 0.0 {
                         out.push(Command::Stop {
-                            task,
+                            task: held.task_name(),
                             attempt,
                             grace_s,
                         });
                     }
                 }
                 (Phase::Ended(_), _) if held.may_clear() => {
+                    let task = held.task_name();
                     out.push(Command::Clear { task, attempt });
                 }
                 _ => {}
--- a/crates/tallygauge-sched/src/demand.rs
+++ b/crates/tallygauge-sched/src/demand.rs
@@ -54,6 +54,8 @@
     new: BTreeMap<(&'a str, &'a str, bool), u32>,
     /// CPUs and GPUs that each team's limit leaves.
     headroom: Vec<(f64, f64)>,
+    /// Tasks that no machine can be had for, by job.
+    stuck: Vec<(&'a Job, u32)>,
 }
 
 /// How many times `need` goes into what there is.
@@ -105,6 +107,7 @@
                 .zip(&self.ledgers)
                 .map(|(t, l)| (t.cpus_max - l.cpus, t.gpus_max - l.gpus))
                 .collect(),
+            stuck: Vec::new(),
         };
         for w in self.workers.values() {
             *market.by_zone.entry(&w.zone).or_default() += 1;
@@ -139,6 +142,7 @@
                 break;
             }
         }
+        self.make_way(now, &mut market);
         let mut out: Vec<Rental> = market
             .new
             .into_iter()
@@ -181,7 +185,9 @@
         }
         let mut new_for: f64 = 0.0;
         while left > 0 {
-            let Some((t, zone, spot)) = self.best_kind(job, count, now, &market.by_zone) else {
+            let kind = self.best_kind(job, count, now, &market.by_zone, None);
+            let Some((t, zone, spot)) = kind else {
+                market.stuck.push((job, left));
                 return;
             };
             // Tasks that are short against a boot, or that can wait, follow one
@@ -219,6 +225,53 @@
         }
     }
 
+    /// Where no machine can be had that is large enough for what waits, asks for
+    /// smaller ones that will take the place of large ones for what runs there
+    /// and does not need them.
+    fn make_way<'a>(&'a self, now: f64, market: &mut Market<'a>) {
+        let Some(&(first, _)) = market.stuck.first() else {
+            return;
+        };
+        let large = |t: &MachineType| Room::of_type(t).holds(&first.spec);
+        let lacking = |s: &(&Job, u32)| s.0.spec.cpus * f64::from(s.1);
+        let lacking: f64 = market.stuck.iter().map(lacking).sum();
+        let mut misplaced: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut small = 0.0;
+        for w in self.workers.values() {
+            match self.types.get(&w.machine_type) {
+                Some(t) if large(t) => {
+                    for held in w.held.iter().filter(|h| h.occupies()) {
+                        *misplaced.entry(held.spec.id.as_str()).or_default() += held.spec.cpus;
+                    }
+                }
+                _ if w.leaving.is_none() && w.notice_until.is_none() => small += w.free.cpus,
+                _ => {}
+            }
+        }
+        let mut lacking = lacking - small;
+        for (id, cpus) in misplaced {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            let mut cpus = cpus.min(lacking);
+            lacking -= cpus.max(0.0);
+            while cpus > EPS {
+                let below = Some(first.spec.as_ref());
+                let kind = self.best_kind(job, u32::MAX, now, &market.by_zone, below);
+                let Some((t, zone, spot)) = kind else {
+                    break;
+                };
+                cpus -= t.cpus;
+                *market.by_zone.entry(zone).or_default() += 1;
+                let n = market.new.entry((&t.name, zone, spot)).or_default();
+                *n += 1;
+                if *n >= MAX_RENT {
+                    return;
+                }
+            }
+        }
+    }
+
     /// Time that a task of the job could still wait and end in time.
     fn slack(&self, job: &Job, run: f64, now: f64) -> f64 {
         self.due(job).map_or(0.0, |due| due - now - run)
@@ -234,20 +287,23 @@
             && job.zone_allowed(zone)
     }
 
-    /// The kind of machine that serves the job's tasks at the least price.
+    /// The kind of machine that serves the job's tasks at the least price; of
+    /// those too small for a task of `below`, if given.
     fn best_kind(
         &self,
         job: &Job,
         count: u32,
         now: f64,
         by_zone: &BTreeMap<&str, usize>,
+        below: Option<&JobSpec>,
     ) -> Option<(&MachineType, &String, bool)> {
         let spec = &job.spec;
         let mut best: Option<(f64, (&MachineType, &String, bool))> = None;
         let mut types: Vec<&MachineType> = self.types.values().collect();
         types.sort_by(|a, b| a.name.cmp(&b.name));
         for t in types {
-            if !Room::of_type(t).holds(spec) {
+            let room = Room::of_type(t);
+            if !room.holds(spec) || below.is_some_and(|b| room.holds(b)) {
                 continue;
             }
             let slots = f64::from(
--- a/crates/tallygauge-sched/src/mapping.rs
+++ b/crates/tallygauge-sched/src/mapping.rs
@@ -269,16 +269,42 @@
         self.wake_at
     }
 
+    /// Place of the least machine type, in order of size, that has room for a
+    /// task of the job.
+    pub(crate) fn least_type(&self, job: &Job) -> f64 {
+        let holds = |t: &&MachineType| Room::of_type(t).holds(&job.spec);
+        let sizes = self.types.values().filter(holds).map(|t| t.cpus);
+        sizes.fold(f64::MAX, f64::min)
+    }
+
+    /// Size of the machines that are short: the least that waiting tasks need
+    /// which do not fit any smaller one.
+    pub(crate) fn contended(&self, groups: &[Group]) -> f64 {
+        let least = self.types.values().map(|t| t.cpus).fold(f64::MAX, f64::min);
+        let needs = groups.iter().map(|g| self.least_type(g.job));
+        needs.filter(|n| *n > least).fold(f64::MAX, f64::min)
+    }
+
     /// What counts between workers that are about as good, in seconds: small
     /// ones and full ones come first, so that large rooms are kept for large
-    /// tasks and machines fall empty. Surplus machines come last: their use
-    /// may cost another boot later.
-    pub(crate) fn packing(&self, worker: &Worker, size: f64, free: f64, largest: f64) -> f64 {
+    /// tasks and machines fall empty. Machines that others wait for come later,
+    /// surplus ones last: their use may cost another boot.
+    pub(crate) fn packing(
+        &self,
+        worker: &Worker,
+        size: f64,
+        free: f64,
+        largest: f64,
+        spared: f64,
+    ) -> f64 {
         let boot_s = self
             .types
             .get(&worker.machine_type)
             .map_or(0.0, |t| t.boot_s);
-        let last = if worker.surplus { boot_s } else { 0.0 };
+        let mut last = if worker.surplus { boot_s } else { 0.0 };
+        if size >= spared {
+            last += self.cfg.floor_s;
+        }
         last + self.cfg.floor_s * 0.5 * (size + free) / (2.0 * largest)
     }
 
@@ -290,7 +316,7 @@
         let (starts, stops) = if groups.is_empty() {
             (Vec::new(), Vec::new())
         } else {
-            let mut round = Round::new(self, now);
+            let mut round = Round::new(self, now, &groups);
             round.run(groups, preempt);
             round.outcome()
         };
@@ -360,6 +386,7 @@
     within: HashSet<&'a str>,
     types: Vec<&'a MachineType>,
     largest: f64,
+    contended: f64,
     /// Usable workers, by name.
     slots: Vec<Slot<'a>>,
     /// Slots changed by this round, in order.
@@ -387,7 +414,7 @@
 }
 
 impl<'a> Round<'a> {
-    fn new(c: &'a Cluster, now: f64) -> Self {
+    fn new(c: &'a Cluster, now: f64, groups: &[Group]) -> Self {
         let mut types: Vec<&MachineType> = c.types.values().collect();
         types.sort_by(|a, b| a.name.cmp(&b.name));
         let mut slots = Vec::with_capacity(c.workers.len());
@@ -422,6 +449,7 @@
             now,
             within: c.within_guarantee(),
             largest: types.iter().map(|t| t.cpus).fold(1.0, f64::max),
+            contended: c.contended(groups),
             types,
             slots,
             log: Vec::new(),
@@ -475,6 +503,16 @@
         self.c.allowed(group, self.slots[slot].worker, zones)
     }
 
+    /// Size from which on machines are left to others, if the job can do with
+    /// smaller ones.
+    fn spared(&self, job: &Job) -> f64 {
+        if self.c.least_type(job) < self.contended {
+            self.contended
+        } else {
+            f64::MAX
+        }
+    }
+
     fn entry(&self, job: &'a Job, slot: usize) -> Option<Entry> {
         let s = &self.slots[slot];
         let group = Group { job, resume: None };
@@ -486,8 +524,12 @@
         }
         let time = self.c.time_on(&group, s.worker, &s.images, self.now);
         let size = self.types[s.of_type].cpus;
+        let spared = self.spared(job);
         Some(Entry {
-            cost: time + self.c.packing(s.worker, size, s.room.cpus, self.largest),
+            cost: time
+                + self
+                    .c
+                    .packing(s.worker, size, s.room.cpus, self.largest, spared),
             slot,
             version: s.version,
         })
--- a/crates/tallygauge-sched/src/reports.rs
+++ b/crates/tallygauge-sched/src/reports.rs
@@ -37,14 +37,16 @@
         if report.token > self.cfg.term {
             return Verdict::Deposed(report.token);
         }
-        self.know(
-            &report.machine,
-            &report.machine_type,
-            &report.zone,
-            report.spot,
-            &report.endpoint,
-            now,
-        );
+        if !self.workers.contains_key(&report.machine) {
+            self.know(
+                &report.machine,
+                &report.machine_type,
+                &report.zone,
+                report.spot,
+                &report.endpoint,
+                now,
+            );
+        }
         let term = self.cfg.term;
         let Some(worker) = self.workers.get_mut(&report.machine) else {
             return Verdict::Stale;
@@ -55,7 +57,9 @@
         if (report.session, report.seq) <= (worker.session, worker.seq) {
             return Verdict::Stale;
         }
-        worker.endpoint.clone_from(&report.endpoint);
+        if worker.endpoint != report.endpoint {
+            worker.endpoint.clone_from(&report.endpoint);
+        }
         worker.heard_at = now;
         worker.direct_failures = 0;
         // It lives after all.
@@ -66,6 +70,7 @@
         {
             worker.leaving = None;
         }
+        let same_session = report.session == worker.session;
         if report.session > worker.session {
             self.changed = true;
             worker.session_at = now;
@@ -86,6 +91,15 @@
             (Some(s), Some(t)) => worker.notice_until = Some(t.min(now + s)),
             (None, _) => worker.notice_until = None,
         }
+        // Most reports say nothing new, and cost next to nothing.
+        if same_session
+            && worker.fenced_at.is_some()
+            && worker.notice_until.is_none()
+            && worker.leaving.is_none()
+            && says_nothing_new(worker, &report.tasks)
+        {
+            return Verdict::Taken;
+        }
         if report.session > 1 {
             self.end_session(&report.machine, report.session - 1, now);
         }
@@ -384,6 +398,22 @@
     }
 }
 
+/// Whether a report shows a worker's attempts just as they are known, all of
+/// them and no others, with nothing left to be seen of them.
+fn says_nothing_new(worker: &Worker, tasks: &[TaskReport]) -> bool {
+    worker.strays.is_empty()
+        && worker.held.len() == tasks.len()
+        && tasks.iter().all(|t| {
+            let known = worker.held.iter().find(|h| h.attempt == t.attempt);
+            known.is_some_and(|h| {
+                h.phase == Phase::On(t.state)
+                    && h.stop.is_none()
+                    && (t.state == TaskState::Fetching || h.running_since.is_some())
+                    && h.is_called(&t.task)
+            })
+        })
+}
+
 /// Job id and task number.
 fn split_task(name: &str) -> Option<(&str, u32)> {
     let (id, index) = name.rsplit_once('/')?;
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -183,6 +183,7 @@
         })
         .collect();
     let largest = types().iter().map(|t| t.cpus).fold(0.0, f64::max);
+    let contended = c.contended(&c.groups(now).0);
     let mut out = Vec::new();
     loop {
         let mut best: Option<(bool, f64, f64, usize, String)> = None;
@@ -203,7 +204,12 @@
                 }
                 let time = c.time_on(&group, w, &w.images, now);
                 let size = if w.machine_type == "large" { 16.0 } else { 4.0 };
-                let score = time + c.packing(w, size, room.cpus, largest);
+                let spared = if c.least_type(job) < contended {
+                    contended
+                } else {
+                    f64::MAX
+                };
+                let score = time + c.packing(w, size, room.cpus, largest, spared);
                 if spot.as_ref().is_none_or(|s| score < s.0) {
                     spot = Some((score, c.worth(job, now + time * 0.5) / time, name.clone()));
                 }
@@ -948,3 +954,79 @@
     assert_eq!(surplus(&c), 0);
     assert_eq!(round(&mut c, 161.0).len(), 20);
 }
+
+#[test]
+fn a_report_that_says_nothing_new_is_told_from_one_that_does() {
+    // The short way must not pass over an end, a stray or a task that is gone.
+    let mut c = cluster(&["sa"], 100.0);
+    c.add_job(spec(1, 2, 1.0), 1, 90.0, &RangeSet::default());
+    round(&mut c, 100.0);
+    let running: Vec<TaskReport> = start_of(&c, "sa", 100.0)
+        .iter()
+        .map(|h| task(&h.0, h.1, TaskState::Running, None))
+        .collect();
+    let mut seq = 4;
+    let mut tell = |c: &mut Cluster, tasks: &[TaskReport]| {
+        seq += 1;
+        c.on_report(
+            100.0 + seq as f64,
+            &report("sa", 1, seq, TERM, tasks.to_vec()),
+            Source::CheckIn,
+        );
+        c.workers["sa"].heard_at == 100.0 + seq as f64
+    };
+    assert!(tell(&mut c, &running));
+    c.changed = false;
+    assert!(tell(&mut c, &running), "it was heard");
+    assert!(!c.changed);
+    // Another task under a known attempt is a stray, whatever else is the same.
+    let mut other = running.clone();
+    other[1].task = "req-9/0".into();
+    tell(&mut c, &other);
+    assert_eq!(c.workers["sa"].strays.len(), 1);
+    assert_eq!(c.jobs["req-1"].holds.len(), 1, "and the known one is gone");
+    let mut ended = running[..1].to_vec();
+    (ended[0].state, ended[0].cause) = (TaskState::Ended, Some(EndCause::Done));
+    tell(&mut c, &ended);
+    assert_eq!(c.jobs["req-1"].finished.len(), 1);
+    assert!(c.workers["sa"].strays.is_empty());
+}
+
+#[test]
+fn small_machines_are_rented_to_free_large_ones_that_can_not_be_had() {
+    // Large tasks waited for minutes beside large machines full of small
+    // tasks, with every small machine of the cloud still to be had.
+    let mut c = cluster(&["l1a", "s2b"], 100.0);
+    c.cfg.teams[0].cpus_max = 200.0;
+    c.add_job(spec(1, 20, 1.0), 1, 90.0, &RangeSet::default());
+    assert_eq!(round(&mut c, 100.0).len(), 20);
+    c.add_job(spec(2, 3, 12.0), 1, 95.0, &RangeSet::default());
+    assert!(round(&mut c, 100.0).is_empty());
+    // While large machines can be had, those are asked for.
+    assert!(c.rentals(100.0).iter().all(|r| r.kind.0 == "large"));
+    for zone in ["a", "b"] {
+        for spot in [true, false] {
+            c.refused(&("large".into(), zone.into(), spot), 100.0);
+        }
+    }
+    let rentals = c.rentals(100.0);
+    assert!(rentals.iter().all(|r| r.kind.0 == "small"), "{rentals:?}");
+    // As many as the small tasks on the large machine need.
+    let there = &c.workers["l1a"].held;
+    let misplaced = there.len() as u32;
+    let count: u32 = rentals.iter().map(|r| r.count).sum();
+    assert_eq!(count, misplaced.div_ceil(4));
+    // With a choice, small tasks leave the large machine to those that wait.
+    let mut c = cluster(&["l1a", "s2b", "s3b"], 100.0);
+    c.workers
+        .get_mut("l1a")
+        .unwrap()
+        .images
+        .touch("i0", 2.0, 20.0);
+    c.add_job(spec(2, 1, 16.5), 1, 95.0, &RangeSet::default());
+    c.add_job(spec(3, 1, 6.0), 1, 95.0, &RangeSet::default());
+    c.add_job(spec(1, 2, 1.0), 1, 90.0, &RangeSet::default());
+    let on = round(&mut c, 100.0);
+    assert!(on.iter().any(|p| p.0 == "req-3" && p.2 == "l1a"));
+    assert!(on.iter().all(|p| p.0 != "req-1" || p.2 != "l1a"), "{on:?}");
+}
--- a/crates/tallygauge/src/workers.rs
+++ b/crates/tallygauge/src/workers.rs
@@ -80,7 +80,9 @@
                         }
                         changed = std::mem::take(&mut cluster.changed);
                         let commands = cluster.commands(&report.machine, now);
-                        cluster.sent(&report.machine, &commands);
+                        if !commands.is_empty() {
+                            cluster.sent(&report.machine, &commands);
+                        }
                         cluster.answered(&report.machine, now);
                         commands
                     }
