Machines of a cut zone are kept for four leases, also by a new leader

The new leader had not heard of its machines, so a lease later it took 102 running ones for such that never came up, and returned them with their tasks; 80 more followed that had booted behind the cut. Ruled out: the list (it called them running all along) and sessions (their leases held while the cut lasted).

A machine that the list calls running has come up; it is given up as silent when nothing was heard of it for four leases and nothing is held on it. Others are rented for what waits meanwhile.

--- a/crates/tallygauge-sched/src/machines.rs
+++ b/crates/tallygauge-sched/src/machines.rs
@@ -9,6 +9,9 @@
     workers::TaskState,
 };
 
+/// Leases after which a machine that nothing is heard of is given up.
+const SILENT_LEASES: f64 = 4.0;
+
 impl Cluster {
     /// Makes sure that a machine is in the picture.
     pub fn know(
@@ -39,6 +42,7 @@
                 session: 0,
                 seq: 0,
                 session_at: now,
+                booted_at: None,
                 dead_session: 0,
                 fenced_at: None,
                 answered_at: f64::NEG_INFINITY,
@@ -82,6 +86,9 @@
                 continue;
             };
             worker.rented_at = worker.rented_at.min(now - m.age_s);
+            if m.state == MachineState::Running {
+                worker.booted_at.get_or_insert(now);
+            }
             if m.state == MachineState::Failed && worker.leaving.is_none() {
                 worker.leaving = Some((LeaveReason::Failed, now));
                 worker.dead_session = worker.dead_session.max(worker.session);
@@ -167,7 +174,7 @@
         let cfg = &self.cfg;
         // A leader new in office has not heard of any worker yet: that alone
         // does not make an old machine one that never came up.
-        if !worker.up() {
+        if !worker.up() && worker.booted_at.is_none() {
             let boot_s = self
                 .types
                 .get(&worker.machine_type)
@@ -175,7 +182,11 @@
             let late = now - worker.rented_at > boot_s * 4.0 && now - self.term_at > cfg.lease_s;
             return late.then_some(LeaveReason::NoBoot);
         }
-        if worker.held.is_empty() && now - worker.heard_at > cfg.lease_s * 2.0 {
+        // Whole zones are cut off for several leases and come back: until then
+        // others are rented where work needs them, but none is thrown away.
+        let since = worker.booted_at.unwrap_or(f64::NEG_INFINITY);
+        let heard = worker.heard_at.max(since).max(self.term_at);
+        if worker.held.is_empty() && now - heard > cfg.lease_s * SILENT_LEASES {
             return Some(LeaveReason::Silent);
         }
         if worker.pace.1 >= 3 && worker.pace.0 / f64::from(worker.pace.1) > 1.8 {
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -428,6 +428,9 @@
     pub seq: u64,
     /// When the session was first heard of.
     pub session_at: f64,
+    /// When the list first called the machine running: its worker may be out
+    /// of reach, but it has come up.
+    pub booted_at: Option<f64>,
     /// Sessions up to this one are surely over.
     pub dead_session: u64,
     /// When a report first showed our token.
