A batch in which a job is cancelled while it is written is not removed under the rest

When a batch's answer came in, each worker's attempts were counted and those stopped meanwhile dropped, worker by worker. If the first worker's were all dropped (their job was cancelled between the write and its answer), the batch was taken for over and marked for removal, though the next workers' attempts in it were counted right after. The record went, and after a crash nobody knew of what ran. It takes a cancellation within the few milliseconds of a write and a crash before the tasks end.

All attempts of a batch are now counted before any is dropped. Test: a_batch_outlives_a_job_that_is_cancelled_while_it_is_written, which fails without the fix.

--- a/crates/tallygauge-sched/src/placements.rs
+++ b/crates/tallygauge-sched/src/placements.rs
@@ -220,7 +220,11 @@
                 }
             }
             self.attention.insert(w.name.clone());
-            // What was stopped while it was being written never went out.
+        }
+        // What was stopped while it was being written never went out. All are
+        // counted before any is dropped: the batch must not be taken for over
+        // while attempts in it are still to be counted.
+        for w in &batch.record.workers {
             self.drop_unsent(&w.name, now);
         }
         if !self.batches.contains_key(&batch.name) {
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -1055,3 +1055,31 @@
     assert!(on.iter().any(|p| p.0 == "req-3" && p.2 == "l1a"));
     assert!(on.iter().all(|p| p.0 != "req-1" || p.2 != "l1a"), "{on:?}");
 }
+
+#[test]
+fn a_batch_outlives_a_job_that_is_cancelled_while_it_is_written() {
+    // The first worker's attempts were dropped before the second's were
+    // counted: the batch was taken for over and removed, and the next leader
+    // started again what still ran.
+    let mut c = cluster(&["sa", "s2b"], 100.0);
+    c.add_job(spec(1, 1, 3.0), 1, 90.0, &RangeSet::default());
+    c.add_job(spec(2, 1, 3.0), 1, 90.0, &RangeSet::default());
+    c.plan(100.0, false);
+    let batch = c.batches(4096, 60, 0.0).remove(0);
+    assert_eq!(batch.record.workers.len(), 2);
+    let first = &batch.record.workers[0];
+    let id = batch.record.jobs[first.tasks[0].0].id.clone();
+    c.remove_job(&id, 100.1);
+    c.written(&batch, 100.2);
+    let held: usize = c.workers.values().map(|w| w.held.len()).sum();
+    assert_eq!(held, 1);
+    assert_eq!(c.batches.get(&batch.name), Some(&1));
+    assert!(c.garbage.is_empty(), "its record is still needed");
+    // With the last attempt it goes.
+    let other = if id == "req-1" { "req-2" } else { "req-1" };
+    c.remove_job(other, 100.3);
+    for name in ["sa", "s2b"] {
+        c.on_report(140.0, &report(name, 2, 1, TERM, vec![]), Source::CheckIn);
+    }
+    assert!(c.garbage.contains(&batch.name));
+}
