--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -42,7 +42,8 @@
     pub(crate) batch_seq: u64,
     /// Batches whose attempts are over, to be removed.
     pub garbage: BTreeSet<Arc<str>>,
-    /// Attempts mapped since batches were last taken, by worker.
+    /// Attempts mapped, or found on a machine, since batches were last taken,
+    /// by worker.
     pub(crate) planned: Vec<(String, u64)>,
     /// Where finished tasks are kept.
     pub pages: Pages,
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -271,6 +271,12 @@
         !matches!(self.phase, Phase::Ended(_))
     }
 
+    /// Whether it is on record in no batch.
+    #[must_use]
+    pub(crate) fn unrecorded(&self) -> bool {
+        self.occupies() && self.batch.is_none()
+    }
+
     /// Whether the worker may be told to forget it.
     #[must_use]
     pub fn may_clear(&self) -> bool {
--- a/crates/tallygauge-sched/src/placements.rs
+++ b/crates/tallygauge-sched/src/placements.rs
@@ -113,7 +113,7 @@
         self.next_attempt >> ATTEMPT_BITS > self.cfg.term
     }
 
-    /// What was planned and is not durable yet, as batches of at most `bytes`
+    /// What was planned, or found on a machine, and is not durable yet, as batches of at most `bytes`
     /// each that name at most `most_jobs` jobs.
     pub fn batches(&mut self, bytes: usize, most_jobs: usize, time_of_day: f64) -> Vec<Batch> {
         let mut planned: BTreeMap<String, BTreeSet<u64>> = BTreeMap::new();
@@ -130,7 +130,7 @@
             let held: Vec<&Held> = worker
                 .held
                 .iter()
-                .filter(|h| h.phase == Phase::Planned && attempts.contains(&h.attempt))
+                .filter(|h| h.unrecorded() && attempts.contains(&h.attempt))
                 .collect();
             let mut open = false;
             for h in held {
@@ -213,8 +213,10 @@
                 continue;
             };
             for held in &mut worker.held {
-                if held.phase == Phase::Planned && batch.has(w, held) {
-                    held.phase = Phase::Recorded;
+                if held.unrecorded() && batch.has(w, held) {
+                    if held.phase == Phase::Planned {
+                        held.phase = Phase::Recorded;
+                    }
                     held.batch = Some(batch.name.clone());
                     *self.batches.entry(batch.name.clone()).or_default() += 1;
                 }
@@ -250,6 +252,15 @@
                 self.vacate(&w.name, &held, now);
                 self.requeue(&held, held.saved_s, &w.name, 0.0);
             }
+            // What runs there all the same must come on record later.
+            let Some(worker) = self.workers.get(&w.name) else {
+                continue;
+            };
+            for held in worker.held.iter().filter(|h| h.unrecorded()) {
+                if batch.has(w, held) {
+                    self.planned.push((w.name.clone(), held.attempt));
+                }
+            }
         }
     }
 }
--- a/crates/tallygauge-sched/src/reports.rs
+++ b/crates/tallygauge-sched/src/reports.rs
@@ -190,6 +190,10 @@
                 held.phase = Phase::Recorded;
                 (held.inherited, held.sent) = (true, true);
                 self.occupy(name, held);
+                // On record nowhere, the next leader would not know of it.
+                if !ended {
+                    self.planned.push((name.to_string(), task.attempt));
+                }
                 match self.workers.get(name) {
                     Some(w) => w.held.len() - 1,
                     None => return,
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -1083,3 +1083,29 @@
     }
     assert!(c.garbage.contains(&batch.name));
 }
+
+#[test]
+fn an_attempt_found_on_a_machine_comes_on_record() {
+    // Lost from the records for whatever reason, what runs is counted by this
+    // leader, but the next one would start it again.
+    let mut c = cluster(&["sa"], 100.0);
+    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
+    let found = task("req-1/0", 77, TaskState::Running, None);
+    c.on_report(
+        101.0,
+        &report("sa", 1, 5, TERM, vec![found]),
+        Source::CheckIn,
+    );
+    assert_eq!(c.plan(101.0, true), (0, 0), "it is not placed again");
+    let batch = c.batches(4096, 60, 0.0).remove(0);
+    assert_eq!((batch.record.base, batch.jobs.len()), (77, 1));
+    assert!(c.batches(4096, 60, 0.0).is_empty(), "once");
+    // Refused, it stays on the machine and is written later.
+    c.unwritten(&batch, 101.5);
+    assert_eq!(c.workers["sa"].held.len(), 1);
+    let again = c.batches(4096, 60, 0.0).remove(0);
+    c.written(&again, 102.0);
+    assert_eq!(c.batches.get(&again.name), Some(&1));
+    assert_eq!(c.workers["sa"].held[0].phase, Phase::On(TaskState::Running));
+    assert!(c.batches(4096, 60, 0.0).is_empty());
+}
