A team's ledger adds in one place; what a job spares is worked out once a round

Found on a second reading, behaviour as before: CPUs and GPUs were added to a ledger by hand in six places; the headroom of a limit was worked out by a copy of demand's fit; the size that a job leaves to others was worked out for every machine it looks at instead of once; two tests built the same listed machine; one comment said place for size.

--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -14,6 +14,13 @@
     pub(crate) gpus: f64,
 }
 
+impl Ledger {
+    pub(crate) fn add(&mut self, spec: &JobSpec, sign: f64) {
+        self.cpus += sign * spec.cpus;
+        self.gpus += sign * spec.gpus;
+    }
+}
+
 /// How long the tasks of a class run, against what their owners said.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Pace {
--- a/crates/tallygauge-sched/src/demand.rs
+++ b/crates/tallygauge-sched/src/demand.rs
@@ -59,7 +59,7 @@
 }
 
 /// How many times `need` goes into what there is.
-fn fit(have: f64, need: f64) -> u32 {
+pub(crate) fn fit(have: f64, need: f64) -> u32 {
     if need > 0.0 {
         ((have + EPS) / need).max(0.0) as u32
     } else {
--- a/crates/tallygauge-sched/src/ledgers.rs
+++ b/crates/tallygauge-sched/src/ledgers.rs
@@ -53,8 +53,7 @@
         };
         worker.free.add(&held.spec, -1.0);
         if let Some(team) = self.cfg.team(&held.spec.team) {
-            self.ledgers[team].cpus += held.spec.cpus;
-            self.ledgers[team].gpus += held.spec.gpus;
+            self.ledgers[team].add(&held.spec, 1.0);
         }
         if let Some(job) = self.jobs.get_mut(&held.spec.id) {
             *job.holds.entry(held.index).or_default() += 1;
@@ -100,8 +99,7 @@
             worker.idle_since = now;
         }
         if let Some(team) = self.cfg.team(&held.spec.team) {
-            self.ledgers[team].cpus -= held.spec.cpus;
-            self.ledgers[team].gpus -= held.spec.gpus;
+            self.ledgers[team].add(&held.spec, -1.0);
         }
         if let Some(job) = self.jobs.get_mut(&held.spec.id) {
             decrement(&mut job.holds, &held.index);
--- a/crates/tallygauge-sched/src/mapping.rs
+++ b/crates/tallygauge-sched/src/mapping.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     cluster::{Cluster, Ledger},
+    demand::fit,
     model::*,
 };
 use std::{
@@ -134,6 +135,8 @@
 /// A job's spots, best first, by machine type.
 struct Finder {
     heaps: Vec<BinaryHeap<Entry>>,
+    /// Size from which on machines are left to others.
+    spared: f64,
     /// How much of the round's log it has taken up.
     seen: usize,
 }
@@ -269,8 +272,7 @@
         self.wake_at
     }
 
-    /// Place of the least machine type, in order of size, that has room for a
-    /// task of the job.
+    /// CPUs of the least machine type that has room for a task of the job.
     pub(crate) fn least_type(&self, job: &Job) -> f64 {
         let holds = |t: &&MachineType| Room::of_type(t).holds(&job.spec);
         let sizes = self.types.values().filter(holds).map(|t| t.cpus);
@@ -429,8 +431,7 @@
                 soon.add(&held.spec, 1.0);
                 making.insert(slots.len());
                 if let Some(team) = c.cfg.team(&held.spec.team) {
-                    leaving[team].cpus += held.spec.cpus;
-                    leaving[team].gpus += held.spec.gpus;
+                    leaving[team].add(&held.spec, 1.0);
                 }
             }
             slots.push(Slot {
@@ -481,18 +482,9 @@
     /// How many more tasks of the job its team's limit allows.
     fn headroom(&self, job: &Job) -> usize {
         let (team, used) = (&self.c.cfg.teams[job.team], &self.ledgers[job.team]);
-        let fit = |most: f64, used: f64, each: f64| {
-            if each > 0.0 {
-                ((most - used + EPS) / each).max(0.0) as usize
-            } else {
-                usize::MAX
-            }
-        };
-        fit(team.cpus_max, used.cpus, job.spec.cpus).min(fit(
-            team.gpus_max,
-            used.gpus,
-            job.spec.gpus,
-        ))
+        let cpus = fit(team.cpus_max - used.cpus, job.spec.cpus);
+        let gpus = fit(team.gpus_max - used.gpus, job.spec.gpus);
+        cpus.min(gpus) as usize
     }
 
     fn allowed(&self, group: &Group, slot: usize) -> bool {
@@ -513,7 +505,7 @@
         }
     }
 
-    fn entry(&self, job: &'a Job, slot: usize) -> Option<Entry> {
+    fn entry(&self, job: &'a Job, slot: usize, spared: f64) -> Option<Entry> {
         let s = &self.slots[slot];
         let group = Group { job, resume: None };
         if !s.room.holds(&job.spec)
@@ -524,7 +516,6 @@
         }
         let time = self.c.time_on(&group, s.worker, &s.images, self.now);
         let size = self.types[s.of_type].cpus;
-        let spared = self.spared(job);
         Some(Entry {
             cost: time
                 + self
@@ -540,18 +531,20 @@
         let id = group.job.spec.id.as_str();
         let mut finder = self.finders.remove(id).unwrap_or_else(|| {
             let mut heaps = vec![Vec::new(); self.types.len()];
+            let spared = self.spared(group.job);
             for slot in 0..self.slots.len() {
-                if let Some(entry) = self.entry(group.job, slot) {
+                if let Some(entry) = self.entry(group.job, slot, spared) {
                     heaps[self.slots[slot].of_type].push(entry);
                 }
             }
             Finder {
                 heaps: heaps.into_iter().map(BinaryHeap::from).collect(),
+                spared,
                 seen: self.log.len(),
             }
         });
         for &slot in &self.log[finder.seen..] {
-            if let Some(entry) = self.entry(group.job, slot) {
+            if let Some(entry) = self.entry(group.job, slot, finder.spared) {
                 finder.heaps[self.slots[slot].of_type].push(entry);
             }
         }
@@ -658,8 +651,7 @@
         let t = self.types[s.of_type];
         s.images.to_mut().want(&job.spec, t, self.now);
         self.log.push(slot);
-        self.ledgers[job.team].cpus += job.spec.cpus;
-        self.ledgers[job.team].gpus += job.spec.gpus;
+        self.ledgers[job.team].add(&job.spec, 1.0);
         if job.spec.one_zone || job.spec.spread {
             let zones = self.zones.entry(id).or_insert_with(|| job.zones.clone());
             *zones.entry(s.worker.zone.clone()).or_default() += 1;
@@ -805,8 +797,7 @@
     /// Room that is being made is kept for a task of the job.
     fn promise(&mut self, job: &'a Job, slot: usize) {
         self.slots[slot].soon.add(&job.spec, -1.0);
-        self.ledgers[job.team].cpus += job.spec.cpus;
-        self.ledgers[job.team].gpus += job.spec.gpus;
+        self.ledgers[job.team].add(&job.spec, 1.0);
     }
 
     fn stop_on(&mut self, group: &Group<'a>, slot: usize) {
@@ -823,8 +814,7 @@
             }
             let (_, held, team) = self.slots[slot].victims.remove(at);
             self.slots[slot].soon.add(&held.spec, 1.0);
-            self.leaving[team].cpus += held.spec.cpus;
-            self.leaving[team].gpus += held.spec.gpus;
+            self.leaving[team].add(&held.spec, 1.0);
             self.stops.push((slot, held.attempt, spec.id.as_str()));
         }
         self.making.insert(slot);
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -527,20 +527,25 @@
     assert!(!c.workers.contains_key("sa"));
 }
 
-#[test]
-fn a_leader_new_in_office_does_not_give_up_machines_it_has_not_heard_yet() {
-    // Old machines whose workers had not reported to the new leader were
-    // taken for such that never came up, and returned with their tasks.
-    let mut c = cluster(&[], 100.0);
-    let old = Machine {
+/// Worker `sa`'s machine, old already, as the list shows it.
+fn listed(state: MachineState) -> Machine {
+    Machine {
         name: "sa".into(),
         endpoint: "sa:1".into(),
         machine_type: "small".into(),
         zone: "a".into(),
         spot: false,
-        state: MachineState::Booting,
+        state,
         age_s: 900.0,
-    };
+    }
+}
+
+#[test]
+fn a_leader_new_in_office_does_not_give_up_machines_it_has_not_heard_yet() {
+    // Old machines whose workers had not reported to the new leader were
+    // taken for such that never came up, and returned with their tasks.
+    let mut c = cluster(&[], 100.0);
+    let old = listed(MachineState::Booting);
     let leaving = |c: &Cluster| c.workers["sa"].leaving.map(|l| l.0);
     c.on_list(std::slice::from_ref(&old), 100.5, 100.5);
     c.tick(101.0);
@@ -557,15 +562,7 @@
     // A hundred running machines of a zone that was cut off were returned as
     // never come up, with their tasks, a lease after a take-over.
     let mut c = cluster(&[], 100.0);
-    let running = Machine {
-        name: "sa".into(),
-        endpoint: "sa:1".into(),
-        machine_type: "small".into(),
-        zone: "a".into(),
-        spot: false,
-        state: MachineState::Running,
-        age_s: 900.0,
-    };
+    let running = listed(MachineState::Running);
     c.on_list(&[running], 101.0, 101.0);
     let leaving = |c: &Cluster| c.workers["sa"].leaving.map(|l| l.0);
     for now in [125.0, 150.0, 175.0] {
