--- a/crates/tallygauge/tests/world/mod.rs
+++ b/crates/tallygauge/tests/world/mod.rs
@@ -78,6 +78,10 @@
     pub broken: Vec<String>,
     /// Direct commands that were turned away.
     pub bounced: u32,
+    /// What the team's tasks may use.
+    pub team_cpus: f64,
+    /// Where workers take direct commands, if not under their names.
+    pub endpoints: HashMap<String, String>,
 }
 
 pub struct World {
@@ -146,6 +150,8 @@
                 starts: Vec::new(),
                 broken: Vec::new(),
                 bounced: 0,
+                team_cpus: TEAM_CPUS,
+                endpoints: HashMap::new(),
             }),
             changed: Notify::new(),
             began: Instant::now(),
@@ -220,7 +226,8 @@
         assert!(!inner.starts.is_empty(), "nothing ran");
     }
 
-    async fn state(&self, node: &str, method: &Method, path: &str, body: &[u8]) -> Answer {
+    /// Answers a node in the state service's stead.
+    pub async fn state(&self, node: &str, method: &Method, path: &str, body: &[u8]) -> Answer {
         if self.inner.lock().unwrap().cut.contains(node) {
             tokio::time::sleep(Duration::from_secs(3600)).await;
             return Err(NoAnswer::Lost);
@@ -279,7 +286,8 @@
         }
     }
 
-    fn cloud(&self, method: &Method, path: &str, body: &[u8]) -> (StatusCode, bytes::Bytes) {
+    /// Answers in the cloud's stead.
+    pub fn cloud(&self, method: &Method, path: &str, body: &[u8]) -> (StatusCode, bytes::Bytes) {
         let now = self.now();
         let mut inner = self.inner.lock().unwrap();
         if path == "/catalog" {
@@ -293,7 +301,7 @@
                 .machines
                 .iter()
                 .map(|(name, at)| {
-                    json!({"nameId": name, "endpoint": name, "build": "c8", "site": "a", "borrowed": false,
+                    json!({"nameId": name, "endpoint": inner.endpoint(name), "build": "c8", "site": "a", "borrowed": false,
                         "status": if inner.workers.contains_key(name) {"running"} else {"booting"}, "ageS": now - at})
                 })
                 .collect();
@@ -321,7 +329,8 @@
         ok(json!({"benches": inner.bookings[&booking]}))
     }
 
-    async fn orders(&self, worker: &str, body: &[u8]) -> Answer {
+    /// Answers a direct message in a worker's stead.
+    pub async fn orders(&self, worker: &str, body: &[u8]) -> Answer {
         let now = self.now();
         let request: DirectCommands = serde_json::from_slice(body).unwrap();
         let answer = {
@@ -371,15 +380,9 @@
                     .into_iter()
                     .map(|name| {
                         due.insert(name.clone(), now + REPORT_S);
-                        let w = inner.workers.get_mut(&name).unwrap();
-                        w.seq += 1;
-                        let at = w.at_node;
-                        (
-                            name.clone(),
-                            at,
-                            now,
-                            inner.report(&name).to_string().into_bytes(),
-                        )
+                        let at = inner.workers[&name].at_node;
+                        let report = inner.next_report(&name).unwrap();
+                        (name, at, now, report.to_string().into_bytes())
                     })
                     .collect()
             };
@@ -404,7 +407,8 @@
 }
 
 impl Inner {
-    fn answered(&mut self, sent: f64, name: &str, answer: &ReportAnswer) {
+    /// A worker takes the answer to a report that it sent.
+    pub fn answered(&mut self, sent: f64, name: &str, answer: &ReportAnswer) {
         let Some(w) = self.workers.get_mut(name) else {
             return;
         };
@@ -416,7 +420,8 @@
         self.execute(sent, name, &answer.commands);
     }
 
-    fn report(&self, name: &str) -> Value {
+    /// A worker's report.
+    pub fn report(&self, name: &str) -> Value {
         let w = &self.workers[name];
         let tasks: Vec<Value> = w
             .tasks
@@ -425,10 +430,36 @@
                 |t| json!({"piece": t.name, "try": t.attempt, "status": t.state, "cause": t.cause}),
             )
             .collect();
-        json!({"bench": name, "endpoint": name, "build": "c8", "site": "a", "borrowed": false,
+        json!({"bench": name, "endpoint": self.endpoint(name), "build": "c8", "site": "a", "borrowed": false,
             "shift": w.session, "tick": w.seq, "baton": w.token, "recallS": null, "pieces": tasks})
     }
 
+    fn endpoint<'a>(&'a self, name: &'a str) -> &'a str {
+        self.endpoints.get(name).map_or(name, String::as_str)
+    }
+
+    /// The next report of a worker that speaks.
+    pub fn next_report(&mut self, name: &str) -> Option<Value> {
+        let w = self.workers.get_mut(name).filter(|w| !w.silent)?;
+        w.seq += 1;
+        Some(self.report(name))
+    }
+
+    /// Adds machines that were rented long ago.
+    pub fn furnish(&mut self, count: u32) {
+        for _ in 0..count {
+            let name = format!("host-{:06}", self.next_machine);
+            self.next_machine += 1;
+            self.machines.insert(name, -60.0);
+        }
+        self.advance(0.0);
+    }
+
+    /// Machines that are up.
+    pub fn names(&self) -> Vec<String> {
+        self.workers.keys().cloned().collect()
+    }
+
     fn execute(&mut self, now: f64, name: &str, commands: &[Command]) {
         for command in commands {
             match command {
@@ -463,7 +494,7 @@
                         .filter(|t| t.state != "ended")
                         .map(|t| self.runs[t.name.split('/').next().unwrap()].1)
                         .sum();
-                    if used > TEAM_CPUS + 1e-6 {
+                    if used > self.team_cpus + 1e-6 {
                         self.broken
                             .push(format!("{now:.1}: the team uses {used} CPUs"));
                     }
@@ -489,7 +520,8 @@
         }
     }
 
-    fn advance(&mut self, now: f64) {
+    /// Lets machines boot, tasks end and leases run out.
+    pub fn advance(&mut self, now: f64) {
         for (name, rented) in &self.machines {
             if now - rented > 2.0 && !self.workers.contains_key(name) {
                 self.workers.insert(
