--- a/crates/tallygauge-sched/examples/scale.rs
+++ b/crates/tallygauge-sched/examples/scale.rs
@@ -196,7 +196,7 @@
         if let Some(flush) = c.flush(24, 49_152).filter(|_| step.is_multiple_of(16)) {
             c.flushed(&flush, 1);
         }
-        c.direct_messages(now).clear();
+        c.direct_messages(now, 1.0).clear();
         let waiting: u32 = c.jobs.values().map(|j| j.waiting.len()).sum();
         most_waiting = most_waiting.max(waiting);
     }
--- a/crates/tallygauge-sched/src/commands.rs
+++ b/crates/tallygauge-sched/src/commands.rs
@@ -88,10 +88,15 @@
     }
 
     /// Direct messages that should go out now: fences, starts that were not
-    /// sent yet, and stops. Marks them as under way.
-    pub fn direct_messages(&mut self, now: f64) -> Vec<DirectMessage> {
+    /// sent yet, and stops. Marks them as under way. `spare` is the part of
+    /// them that the process has time for: what does not go out waits for the
+    /// worker's next check-in, whose answer carries the same.
+    pub fn direct_messages(&mut self, now: f64, spare: f64) -> Vec<DirectMessage> {
         let mut out = Vec::new();
-        for name in std::mem::take(&mut self.attention) {
+        let most = ((self.cfg.most_direct as f64 * spare) as usize).max(1);
+        let mut due = std::mem::take(&mut self.attention).into_iter();
+        while self.direct_under_way < most {
+            let Some(name) = due.next() else { break };
             let Some(w) = self.workers.get(&name) else {
                 continue;
             };
@@ -117,8 +122,7 @@
                 continue;
             }
             // Those that can't have one now are looked at again.
-            let full = self.direct_under_way >= self.cfg.most_direct;
-            if w.direct_busy || now < w.direct_after || full {
+            if w.direct_busy || now < w.direct_after {
                 self.attention.insert(name);
                 continue;
             }
@@ -158,6 +162,7 @@
                 starts,
             });
         }
+        self.attention.extend(due);
         out
     }
 
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -437,7 +437,7 @@
     let mut c = cluster(&["sa"], 100.0);
     c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
     round(&mut c, 100.0);
-    let message = c.direct_messages(100.0).remove(0);
+    let message = c.direct_messages(100.0, 1.0).remove(0);
     assert_eq!(message.starts.len(), 1);
     c.direct_done(&message, false, false, 104.0);
     let (name, attempt) = start_of(&c, "sa", 104.0).remove(0);
--- a/crates/tallygauge/src/control.rs
+++ b/crates/tallygauge/src/control.rs
@@ -78,7 +78,7 @@
         longest = longest.max(took);
         let pause = Duration::from_secs_f64(gap.max(took * (1.0 / ROUND_SHARE - 1.0)));
         let Some(batches) = batches else {
-            tokio::time::sleep(pause).await;
+            rest(node, pause).await;
             continue;
         };
         // Nothing of this round is written yet: no number is used twice.
@@ -103,7 +103,17 @@
             longest = 0.0;
         }
         node.wake_cloud.notify_one();
-        tokio::time::sleep(pause).await;
+        rest(node, pause).await;
+    }
+}
+
+/// Waits, and notes how much longer that takes than it should.
+async fn rest(node: &Node, pause: Duration) {
+    let due = node.now() + pause.as_secs_f64();
+    tokio::time::sleep(pause).await;
+    let late = node.now() - due;
+    if let Some(lead) = node.lock(&node.lead).as_mut() {
+        lead.lag += (late - lead.lag) * 0.5;
     }
 }
 
@@ -121,6 +131,7 @@
 
 fn summarize(node: &Node, longest_round_s: f64) {
     let backlog = node.state.budget().waiting();
+    let lag = node.lock(&node.lead).as_ref().map_or(0.0, |l| l.lag);
     node.with_cluster(|c| {
         let held = |w: &tallygauge_sched::Worker| w.held.iter().filter(|h| h.occupies()).count();
         let running: usize = c.workers.values().map(held).sum();
@@ -142,6 +153,7 @@
             cpus_running = busy,
             cpus_free = free,
             round_ms = (longest_round_s * 1000.0) as u64,
+            lag_ms = (lag * 1000.0) as u64,
             writes_waiting = backlog,
             "summary"
         );
--- a/crates/tallygauge/src/node.rs
+++ b/crates/tallygauge/src/node.rs
@@ -22,6 +22,10 @@
 /// Bytes that a task takes in a worker's report, at most.
 const TASK_REPORT_BYTES: usize = 160;
 
+/// Part of the report interval that a process may lag behind before it leaves
+/// out what it can.
+const MOST_LAG: f64 = 0.1;
+
 /// Key of an open job.
 #[must_use]
 pub fn open_key(id: &str) -> String {
@@ -127,6 +131,8 @@
     pub watched: f64,
     /// When a worker last called.
     pub called: f64,
+    /// How late the process is of late: what its timers lag behind.
+    pub lag: f64,
 }
 
 /// Task counts of open jobs, for display.
@@ -265,6 +271,15 @@
         (w.cancel_s - w.lease_s) * 0.85
     }
 
+    /// Part of the work that can be left out which a process has time for that
+    /// lags so far behind: none when a worker's answer would be late by a good
+    /// part of the time between two reports.
+    #[must_use]
+    pub fn spare(&self, lag: f64) -> f64 {
+        let most = self.settings.deployment.workers.report_s * MOST_LAG;
+        (1.0 - lag / most).clamp(0.0, 1.0)
+    }
+
     /// Time to live of the leader's lease at the state service.
     #[must_use]
     pub fn term_ttl(&self) -> Duration {
--- a/crates/tallygauge/src/workers.rs
+++ b/crates/tallygauge/src/workers.rs
@@ -125,11 +125,11 @@
     let (term, messages) = {
         let mut lead = node.lock(&node.lead);
         let Some(lead) = lead.as_mut() else { return };
-        let term = lead.term;
+        let (term, spare) = (lead.term, node.spare(lead.lag));
         let Some(cluster) = lead.cluster.as_mut() else {
             return;
         };
-        (term, cluster.direct_messages(now))
+        (term, cluster.direct_messages(now, spare))
     };
     for message in messages {
         let node = node.clone();
