Leadership, rounds and the state service's connections go first

Cause: everything was one queue of tasks, and the renewal of the leader's lease passed it four times (timer, request, answer, result), behind the requests of hundreds of workers.

--- a/crates/tallygauge-state/src/http.rs
+++ b/crates/tallygauge-state/src/http.rs
@@ -1,6 +1,7 @@
 //! A small JSON-over-HTTP client with bounded time and size.
 
 use bytes::Bytes;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, StatusCode, header};
 use hyper_util::{
@@ -9,6 +10,7 @@
 };
 use serde::Serialize;
 use std::{future::Future, pin::Pin, sync::Arc, time::Duration};
+use tokio::sync::mpsc;
 
 /// Why there is no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,15 +48,68 @@
     limit: usize,
 }
 
+type Work = Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// Connections that are handed over to be driven, at most, before others are
+/// driven as tasks of their own.
+const MOST_HANDED_OVER: usize = 64;
+
+/// Hands the work of connections over to [`Connections`].
+#[derive(Clone)]
+struct Handover(mpsc::Sender<Work>);
+
+impl<F: Future<Output = ()> + Send + 'static> hyper::rt::Executor<F> for Handover {
+    fn execute(&self, work: F) {
+        if let Err(error) = self.0.try_send(Box::pin(work)) {
+            tokio::spawn(error.into_inner());
+        }
+    }
+}
+
+/// The connections of a client, to be driven by whoever holds this.
+pub struct Connections(mpsc::Receiver<Work>);
+
+impl Connections {
+    /// Drives the connections for as long as the client is in use.
+    pub async fn drive(mut self) {
+        let mut all = FuturesUnordered::new();
+        loop {
+            tokio::select! {
+                work = self.0.recv() => match work {
+                    Some(work) => all.push(work),
+                    None => return,
+                },
+                Some(()) = all.next(), if !all.is_empty() => {}
+            }
+        }
+    }
+}
+
 impl Http {
     /// A client that gives a connection attempt up after `connect`, and takes
     /// answers of at most `limit` bytes.
     #[must_use]
     pub fn new(connect: Duration, limit: usize) -> Self {
+        Self::on(TokioExecutor::new(), connect, limit)
+    }
+
+    /// The same, with connections that do not queue with the runtime's tasks
+    /// but are driven by the caller, so that they can be given precedence.
+    #[must_use]
+    pub fn driven(connect: Duration, limit: usize) -> (Self, Connections) {
+        let (work, connections) = mpsc::channel(MOST_HANDED_OVER);
+        let http = Self::on(Handover(work), connect, limit);
+        (http, Connections(connections))
+    }
+
+    fn on<E>(executor: E, connect: Duration, limit: usize) -> Self
+    where
+        E: hyper::rt::Executor<Work> + Send + Sync + Clone + 'static,
+    {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(connect));
         connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
+        let client = Client::builder(executor)
             .pool_idle_timeout(Duration::from_secs(60))
             .pool_max_idle_per_host(4)
             .pool_timer(TokioTimer::new())
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -45,11 +45,17 @@
     let connect = Duration::from_secs(1);
     let limit = (settings.deployment.quota.memory_mb * 1024.0 * 1024.0 / 8.0) as usize;
     let http = Http::new(connect, limit);
-    let (node, questions) = Node::new(settings, tuning, http);
+    let (state, connections) = Http::driven(connect, limit);
+    let (node, questions) = Node::new(settings, tuning, state, http);
     tracing::info!(node = node.settings.node_name, "starts");
     tokio::spawn(server::serve(node.clone()));
     tokio::spawn(peers::run(node.clone()));
-    tokio::spawn(background(node.clone(), questions));
-    peers::serve(node).await?;
-    Ok(())
+    let peers = tokio::spawn(peers::serve(node.clone()));
+    // What is not spawned does not queue behind hundreds of workers' requests:
+    // the runtime looks at it first. A lease that waits its turn is lost.
+    tokio::select! {
+        () = background(node, questions) => Ok(()),
+        () = connections.drive() => Ok(()),
+        served = peers => Ok(served??),
+    }
 }
--- a/crates/tallygauge/src/node.rs
+++ b/crates/tallygauge/src/node.rs
@@ -199,11 +199,13 @@
 }
 
 impl Node {
-    /// A node, and the other end of its questions.
+    /// A node, and the other end of its questions. `state` reaches the state
+    /// service, `http` cloud and workers.
     #[must_use]
     pub fn new(
         settings: Settings,
         tuning: Tuning,
+        state: Http,
         http: Http,
     ) -> (Arc<Self>, mpsc::Receiver<Query>) {
         let limits = &settings.deployment.state;
@@ -211,12 +213,7 @@
             .clamp(Duration::from_millis(500), Duration::from_secs(2));
         let share = 1.0 / f64::from(settings.deployment.count.max(1));
         let budget = Arc::new(Budget::new(limits.rps * share, limits.write_rps * share));
-        let state = Client::new(
-            http.clone(),
-            &settings.services.state.to_string(),
-            budget,
-            timeout,
-        );
+        let state = Client::new(state, &settings.services.state.to_string(), budget, timeout);
         // A job known takes about a kilobyte at most; a tenth of the memory.
         let most = (settings.deployment.quota.memory_mb * 100.0) as usize;
         let (queries, questions) = mpsc::channel(settings.deployment.quota.sockets as usize);
--- a/crates/tallygauge/tests/world/mod.rs
+++ b/crates/tallygauge/tests/world/mod.rs
@@ -183,7 +183,7 @@
             node: name.into(),
         }));
         let settings = Settings::parse(&settings.to_string()).unwrap();
-        let (node, questions) = Node::new(settings, Tuning::default(), http);
+        let (node, questions) = Node::new(settings, Tuning::default(), http.clone(), http);
         self.nodes.lock().unwrap().push(Some(node.clone()));
         let task = tokio::spawn(tallygauge::background(node.clone(), questions));
         (node, task)
