--- a/crates/tallygauge/examples/load.rs
+++ b/crates/tallygauge/examples/load.rs
@@ -18,9 +18,9 @@
 use serde_json::{Value, json};
 use std::{
     path::PathBuf,
-    process::{Child, Command},
+    process::{Child, Command, Stdio},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering::Relaxed},
     },
     time::{Duration, Instant},
@@ -155,13 +155,22 @@
     }
 }
 
+/// The process under measurement, so that a panic does not leave it behind.
+static PROCESS: Mutex<Option<Child>> = Mutex::new(None);
+
 /// The program under measurement.
-struct Program(Child);
+struct Program(u32);
+
+fn end() {
+    if let Ok(Some(mut child)) = PROCESS.try_lock().map(|mut p| p.take()) {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
 
 impl Drop for Program {
     fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        end();
     }
 }
 
@@ -175,7 +184,7 @@
 
 impl Program {
     fn usage(&self) -> Usage {
-        let id = self.0.id();
+        let id = self.0;
         let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).expect("stat");
         let after_name = stat.rsplit(')').next().unwrap_or_default();
         let fields: Vec<&str> = after_name.split_whitespace().collect();
@@ -249,6 +258,11 @@
 #[tokio::main]
 async fn main() {
     let arguments = Arguments::parse();
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        report(info);
+        end();
+    }));
     let machines = arguments.machines;
     let all = machines * arguments.tasks;
     let cpus = f64::from(machines) * 8.0;
@@ -292,14 +306,17 @@
     std::fs::write(&path, settings.to_string()).expect("settings");
     let start = || {
         let mut command = Command::new(&arguments.program);
-        let command = command.arg("--config").arg(&path);
+        let command = command.arg("--config").arg(&path).stdout(Stdio::null());
         let child = command
             .env(
                 "LOG_LEVEL",
                 std::env::var("LOG_LEVEL").unwrap_or_else(|_| "error".into()),
             )
             .spawn();
-        Program(child.expect("the program, as cargo build --release makes it"))
+        let child = child.expect("the program, as cargo build --release makes it");
+        let program = Program(child.id());
+        *PROCESS.lock().unwrap() = Some(child);
+        program
     };
     let base = format!("http://{users}");
     let names = world.inner.lock().unwrap().names();
