A leader that lags leaves users to the other nodes

The lag is measured by a task that queues as reports do; a leader that lags is not ready for a lease while at least half of the others answer it.

--- a/crates/tallygauge/src/control.rs
+++ b/crates/tallygauge/src/control.rs
@@ -78,7 +78,7 @@
         longest = longest.max(took);
         let pause = Duration::from_secs_f64(gap.max(took * (1.0 / ROUND_SHARE - 1.0)));
         let Some(batches) = batches else {
-            rest(node, pause).await;
+            tokio::time::sleep(pause).await;
             continue;
         };
         // Nothing of this round is written yet: no number is used twice.
@@ -103,17 +103,7 @@
             longest = 0.0;
         }
         node.wake_cloud.notify_one();
-        rest(node, pause).await;
-    }
-}
-
-/// Waits, and notes how much longer that takes than it should.
-async fn rest(node: &Node, pause: Duration) {
-    let due = node.now() + pause.as_secs_f64();
-    tokio::time::sleep(pause).await;
-    let late = node.now() - due;
-    if let Some(lead) = node.lock(&node.lead).as_mut() {
-        lead.lag += (late - lead.lag) * 0.5;
+        tokio::time::sleep(pause).await;
     }
 }
 
@@ -131,7 +121,7 @@
 
 fn summarize(node: &Node, longest_round_s: f64) {
     let backlog = node.state.budget().waiting();
-    let lag = node.lock(&node.lead).as_ref().map_or(0.0, |l| l.lag);
+    let lag = *node.lock(&node.lag);
     node.with_cluster(|c| {
         let held = |w: &tallygauge_sched::Worker| w.held.iter().filter(|h| h.occupies()).count();
         let running: usize = c.workers.values().map(held).sum();
--- a/crates/tallygauge/src/leader.rs
+++ b/crates/tallygauge/src/leader.rs
@@ -175,7 +175,6 @@
         confirmed: asked,
         watched: asked,
         called: node.now(),
-        lag: 0.0,
     };
     Some(lead)
 }
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -50,6 +50,7 @@
     tracing::info!(node = node.settings.node_name, "starts");
     tokio::spawn(server::serve(node.clone()));
     tokio::spawn(peers::run(node.clone()));
+    tokio::spawn(node.clone().measure_lag());
     let peers = tokio::spawn(peers::serve(node.clone()));
     // What is not spawned does not queue behind hundreds of workers' requests:
     // the runtime looks at it first. A lease that waits its turn is lost.
--- a/crates/tallygauge/src/node.rs
+++ b/crates/tallygauge/src/node.rs
@@ -24,7 +24,10 @@
 
 /// Part of the report interval that a process may lag behind before it leaves
 /// out what it can.
-const MOST_LAG: f64 = 0.1;
+const MOST_LAG: f64 = 0.05;
+
+/// Part of the report interval between two measurements of the lag.
+const LAG_STEP: f64 = 0.04;
 
 /// Key of an open job.
 #[must_use]
@@ -131,8 +134,6 @@
     pub watched: f64,
     /// When a worker last called.
     pub called: f64,
-    /// How late the process is of late: what its timers lag behind.
-    pub lag: f64,
 }
 
 /// Task counts of open jobs, for display.
@@ -196,6 +197,13 @@
     pub relay: Mutex<Option<Arc<dyn Relay>>>,
     /// Requests are not passed on before this time.
     pub relay_after: Mutex<f64>,
+    /// How late ordinary tasks of this process are of late, seconds.
+    pub lag: Mutex<f64>,
+    /// Until when this node, leading and behind with its work, leaves users to
+    /// the others.
+    pub leaves_users_until: Mutex<f64>,
+    /// Other nodes that answered when last asked, while this node leads.
+    pub peers_up: Mutex<usize>,
 }
 
 impl Node {
@@ -239,6 +247,9 @@
             reached: Mutex::new(false),
             relay: Mutex::default(),
             relay_after: Mutex::new(f64::NEG_INFINITY),
+            lag: Mutex::new(0.0),
+            leaves_users_until: Mutex::new(f64::NEG_INFINITY),
+            peers_up: Mutex::new(0),
         };
         (Arc::new(node), questions)
     }
@@ -268,13 +279,42 @@
         (w.cancel_s - w.lease_s) * 0.85
     }
 
-    /// Part of the work that can be left out which a process has time for that
-    /// lags so far behind: none when a worker's answer would be late by a good
-    /// part of the time between two reports.
+    /// Part of the work that can be left out which this process has time for:
+    /// none when answers are late by a good part of a report interval.
     #[must_use]
-    pub fn spare(&self, lag: f64) -> f64 {
+    pub fn spare(&self) -> f64 {
         let most = self.settings.deployment.workers.report_s * MOST_LAG;
-        (1.0 - lag / most).clamp(0.0, 1.0)
+        (1.0 - *self.lock(&self.lag) / most).clamp(0.0, 1.0)
+    }
+
+    /// Measures for ever how late this process is, in a task that queues like
+    /// any worker's request. A node without time to spare leaves users to the
+    /// others for a lease, should it lead.
+    pub async fn measure_lag(self: Arc<Self>) {
+        let w = &self.settings.deployment.workers;
+        let step = w.report_s * LAG_STEP;
+        loop {
+            let due = self.now() + step;
+            tokio::time::sleep(Duration::from_secs_f64(step)).await;
+            let late = self.now() - due;
+            {
+                let mut lag = self.lock(&self.lag);
+                *lag += (late - *lag) * 0.5;
+            }
+            if self.spare() == 0.0 {
+                *self.lock(&self.leaves_users_until) = self.now() + w.lease_s;
+            }
+        }
+    }
+
+    /// Whether users are better served by the other nodes: this one leads, has
+    /// lagged of late, and at least half of the others answer.
+    #[must_use]
+    pub fn leaves_users(&self) -> bool {
+        let enough = self.settings.peers.len().div_ceil(2).max(1);
+        self.now() < *self.lock(&self.leaves_users_until)
+            && *self.lock(&self.peers_up) >= enough
+            && self.lock(&self.lead).is_some()
     }
 
     /// Time to live of the leader's lease at the state service.
--- a/crates/tallygauge/src/peers.rs
+++ b/crates/tallygauge/src/peers.rs
@@ -6,6 +6,7 @@
     users::{self, Passing, Relay, Reply},
     workers,
 };
+use futures_util::future::join_all;
 use std::{
     sync::{Arc, Weak},
     time::Duration,
@@ -185,6 +186,14 @@
                 }
             }
         }
+        if mine && node.now() < *node.lock(&node.leaves_users_until) {
+            let asked = clients.iter().map(|(_, client)| {
+                let (mut client, announcement) = (client.clone(), announcement.clone());
+                async move { client.announce(announcement).await.is_ok() }
+            });
+            let up = join_all(asked).await.into_iter().filter(|up| *up).count();
+            *node.lock(&node.peers_up) = up;
+        }
         if !mine {
             let leader = clients.iter().find(|c| Some(&c.0) == role.leader.as_ref());
             if let Some((_, client)) = leader {
--- a/crates/tallygauge/src/server.rs
+++ b/crates/tallygauge/src/server.rs
@@ -70,9 +70,10 @@
     }
 }
 
-/// Whether the node can judge submissions and tell the state of jobs.
+/// Whether the node can judge submissions and tell the state of jobs, and is
+/// not better left to its work by users. It answers them all the same.
 fn ready(node: &Node) -> bool {
-    node.lock(&node.catalogue).is_some() && *node.lock(&node.reached)
+    node.lock(&node.catalogue).is_some() && *node.lock(&node.reached) && !node.leaves_users()
 }
 
 /// Serves users, workers and health checks. Never returns.
--- a/crates/tallygauge/src/workers.rs
+++ b/crates/tallygauge/src/workers.rs
@@ -125,7 +125,7 @@
     let (term, messages) = {
         let mut lead = node.lock(&node.lead);
         let Some(lead) = lead.as_mut() else { return };
-        let (term, spare) = (lead.term, node.spare(lead.lag));
+        let (term, spare) = (lead.term, node.spare());
         let Some(cluster) = lead.cluster.as_mut() else {
             return;
         };
