--- a/crates/tallygauge/src/server.rs
+++ b/crates/tallygauge/src/server.rs
@@ -7,8 +7,11 @@
 };
 use bytes::Buf;
 use futures_util::{Stream, StreamExt};
-use std::sync::Arc;
+use hyper::server::conn::http1;
+use hyper_util::{rt::TokioIo, service::TowerToHyperService};
+use std::{sync::Arc, time::Duration};
 use tallygauge_wire::{BODY_LIMIT, users::ErrorBody};
+use tokio::net::TcpListener;
 use warp::{
     Filter,
     http::{Method, Response, StatusCode},
@@ -91,7 +94,21 @@
                 }
             }
         });
-    warp::serve(routes).run(addr).await;
+    let service = TowerToHyperService::new(warp::service(routes));
+    let listener = TcpListener::bind(addr).await.expect("the address is free");
+    // Warp's own loop would first find out which version of HTTP each
+    // connection speaks, and look at that again at every turn.
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection =
+                    http1::Builder::new().serve_connection(TokioIo::new(stream), service.clone());
+                tokio::spawn(connection);
+            }
+            // Out of sockets: those in use end some time.
+            Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+        }
+    }
 }
 
 /// Reads a body of bounded size.
--- a/crates/tallygauge/src/workers.rs
+++ b/crates/tallygauge/src/workers.rs
@@ -43,6 +43,11 @@
 
 /// `POST /checkin`
 pub fn check_in(node: &Node, body: &[u8]) -> CheckIn {
+    // Who does not lead has no use for the report: when a leader is gone, all
+    // workers call on the others at once, and are refused before it costs.
+    if node.lock(&node.lead).is_none() {
+        return elsewhere(node);
+    }
     let report: Report = match serde_json::from_slice(body) {
         Ok(report) => report,
         Err(error) => {
@@ -105,16 +110,19 @@
             }
             CheckIn::Take(answer)
         }
-        None => {
-            *node.lock(&node.called_at) = now;
-            let leader = node.lock(&node.role).leader.clone();
-            match leader {
-                Some(name) if name != node.settings.node_name => CheckIn::Elsewhere(Redirect {
-                    report_to: Some(name),
-                }),
-                _ => CheckIn::NotNow,
-            }
-        }
+        None => elsewhere(node),
+    }
+}
+
+/// The answer of a node that does not lead.
+fn elsewhere(node: &Node) -> CheckIn {
+    *node.lock(&node.called_at) = node.now();
+    let leader = node.lock(&node.role).leader.clone();
+    match leader {
+        Some(name) if name != node.settings.node_name => CheckIn::Elsewhere(Redirect {
+            report_to: Some(name),
+        }),
+        _ => CheckIn::NotNow,
     }
 }
 
