--- a/crates/tallygauge-state/src/http.rs
+++ b/crates/tallygauge-state/src/http.rs
@@ -86,23 +86,23 @@
 }
 
 impl Http {
-    /// A client that gives a connection attempt up after `connect`, and takes
-    /// answers of at most `limit` bytes.
+    /// A client that gives a connection attempt up after `connect`, closes a
+    /// connection unused for `idle`, and takes answers of at most `limit` bytes.
     #[must_use]
-    pub fn new(connect: Duration, limit: usize) -> Self {
-        Self::on(TokioExecutor::new(), connect, limit)
+    pub fn new(connect: Duration, idle: Duration, limit: usize) -> Self {
+        Self::on(TokioExecutor::new(), connect, idle, limit)
     }
 
     /// The same, with connections that do not queue with the runtime's tasks
     /// but are driven by the caller, so that they can be given precedence.
     #[must_use]
-    pub fn driven(connect: Duration, limit: usize) -> (Self, Connections) {
+    pub fn driven(connect: Duration, idle: Duration, limit: usize) -> (Self, Connections) {
         let (work, connections) = mpsc::channel(MOST_HANDED_OVER);
-        let http = Self::on(Handover(work), connect, limit);
+        let http = Self::on(Handover(work), connect, idle, limit);
         (http, Connections(connections))
     }
 
-    fn on<E>(executor: E, connect: Duration, limit: usize) -> Self
+    fn on<E>(executor: E, connect: Duration, idle: Duration, limit: usize) -> Self
     where
         E: hyper::rt::Executor<Work> + Send + Sync + Clone + 'static,
     {
@@ -110,7 +110,7 @@
         connector.set_connect_timeout(Some(connect));
         connector.set_nodelay(true);
         let client = Client::builder(executor)
-            .pool_idle_timeout(Duration::from_secs(60))
+            .pool_idle_timeout(idle)
             .pool_max_idle_per_host(4)
             .pool_timer(TokioTimer::new())
             .build(connector);
--- a/crates/tallygauge/examples/load.rs
+++ b/crates/tallygauge/examples/load.rs
@@ -108,7 +108,7 @@
 }
 
 fn client() -> Http {
-    Http::new(Duration::from_secs(1), 1 << 20)
+    Http::new(Duration::from_secs(1), Duration::from_secs(60), 1 << 20)
 }
 
 /// One worker, for ever: takes direct messages and reports, soon after a change
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -44,8 +44,10 @@
 ) -> Result<(), Box<dyn std::error::Error>> {
     let connect = Duration::from_secs(1);
     let limit = (settings.deployment.quota.memory_mb * 1024.0 * 1024.0 / 8.0) as usize;
-    let http = Http::new(connect, limit);
-    let (state, connections) = Http::driven(connect, limit);
+    // Sockets are scarce: a machine that went must not hold one for long.
+    let idle = Duration::from_secs_f64(settings.deployment.workers.lease_s);
+    let http = Http::new(connect, idle, limit);
+    let (state, connections) = Http::driven(connect, idle, limit);
     let (node, questions) = Node::new(settings, tuning, state, http);
     tracing::info!(node = node.settings.node_name, "starts");
     tokio::spawn(server::serve(node.clone()));
--- a/crates/tallygauge/src/server.rs
+++ b/crates/tallygauge/src/server.rs
@@ -8,7 +8,10 @@
 use bytes::Buf;
 use futures_util::{Stream, StreamExt};
 use hyper::server::conn::http1;
-use hyper_util::{rt::TokioIo, service::TowerToHyperService};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    service::TowerToHyperService,
+};
 use std::{sync::Arc, time::Duration};
 use tallygauge_wire::{BODY_LIMIT, users::ErrorBody};
 use tokio::net::TcpListener;
@@ -82,6 +85,7 @@
 /// Serves users, workers and health checks. Never returns.
 pub async fn serve(node: Arc<Node>) {
     let addr = node.settings.client_listen;
+    let lease_s = node.settings.deployment.workers.lease_s;
     let routes = warp::method()
         .and(warp::path::full())
         .and(warp::body::stream())
@@ -96,13 +100,16 @@
         });
     let service = TowerToHyperService::new(warp::service(routes));
     let listener = TcpListener::bind(addr).await.expect("the address is free");
+    // A caller that went without a word must not hold a socket for ever.
+    let idle = Duration::from_secs_f64(lease_s * 2.0);
+    let mut http = http1::Builder::new();
+    http.timer(TokioTimer::new()).header_read_timeout(idle);
     // Warp's own loop would first find out which version of HTTP each
     // connection speaks, and look at that again at every turn.
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let connection =
-                    http1::Builder::new().serve_connection(TokioIo::new(stream), service.clone());
+                let connection = http.serve_connection(TokioIo::new(stream), service.clone());
                 tokio::spawn(connection);
             }
             // Out of sockets: those in use end some time.
