--- a/crates/tallygauge-sched/src/demand.rs
+++ b/crates/tallygauge-sched/src/demand.rs
@@ -177,7 +177,7 @@
             if left == 0 {
                 return;
             }
-            if !self.kind_allowed(job, v.machine_type, v.zone, v.spot) {
+            if !job.allows(v.machine_type, v.zone, v.spot, &job.zones) {
                 continue;
             }
             any_allowed = true;
@@ -277,16 +277,6 @@
         self.due(job).map_or(0.0, |due| due - now - run)
     }
 
-    fn kind_allowed(&self, job: &Job, machine_type: &str, zone: &str, spot: bool) -> bool {
-        (job.spec.spot || !spot)
-            && job
-                .spec
-                .types
-                .as_ref()
-                .is_none_or(|t| t.iter().any(|n| n == machine_type))
-            && job.zone_allowed(zone)
-    }
-
     /// The kind of machine that serves the job's tasks at the least price; of
     /// those too small for a task of `below`, if given.
     fn best_kind(
@@ -315,7 +305,7 @@
             .max(1.0);
             for zone in &t.zones {
                 for spot in [true, false] {
-                    if !self.kind_allowed(job, &t.name, zone, spot) {
+                    if !job.allows(&t.name, zone, spot, &job.zones) {
                         continue;
                     }
                     let kind = (t.name.clone(), zone.clone(), spot);
--- a/crates/tallygauge-sched/src/mapping.rs
+++ b/crates/tallygauge-sched/src/mapping.rs
@@ -210,23 +210,6 @@
         fetch + self.remaining(group.job, group.saved_on(&worker.machine_type))
     }
 
-    /// Whether a task of the group may be on the worker at all, given where the
-    /// job's other tasks are.
-    pub(crate) fn allowed(
-        &self,
-        group: &Group,
-        worker: &Worker,
-        zones: &BTreeMap<String, u32>,
-    ) -> bool {
-        let spec = &group.job.spec;
-        (spec.spot || !worker.spot)
-            && spec
-                .types
-                .as_ref()
-                .is_none_or(|t| t.contains(&worker.machine_type))
-            && group.job.zone_allowed_beside(&worker.zone, zones)
-    }
-
     /// Jobs that fit into their team's guarantee together with the team's
     /// earlier unfinished jobs.
     pub(crate) fn within_guarantee(&self) -> HashSet<&str> {
@@ -492,7 +475,8 @@
             .zones
             .get(group.job.spec.id.as_str())
             .unwrap_or(&group.job.zones);
-        self.c.allowed(group, self.slots[slot].worker, zones)
+        let w = self.slots[slot].worker;
+        group.job.allows(&w.machine_type, &w.zone, w.spot, zones)
     }
 
     /// Size from which on machines are left to others, if the job can do with
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -368,14 +368,23 @@
         self.spec.tasks - self.finished.len()
     }
 
-    /// Whether another task may start in a zone, given the job's other tasks.
-    #[must_use]
-    pub fn zone_allowed(&self, zone: &str) -> bool {
-        self.zone_allowed_beside(zone, &self.zones)
+    /// Whether a task of the job may be on such a machine, given how many of its
+    /// tasks are in each zone.
+    pub(crate) fn allows(
+        &self,
+        machine_type: &str,
+        zone: &str,
+        spot: bool,
+        zones: &BTreeMap<String, u32>,
+    ) -> bool {
+        let types = self.spec.types.as_ref();
+        (self.spec.spot || !spot)
+            && types.is_none_or(|t| t.iter().any(|name| name == machine_type))
+            && self.zone_allowed(zone, zones)
     }
 
-    /// The same, given how many tasks are in each zone.
-    pub(crate) fn zone_allowed_beside(&self, zone: &str, zones: &BTreeMap<String, u32>) -> bool {
+    /// Whether another task may start in a zone, given how many are in each.
+    fn zone_allowed(&self, zone: &str, zones: &BTreeMap<String, u32>) -> bool {
         if self.spec.zone.as_ref().is_some_and(|z| z != zone) {
             return false;
         }
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -198,7 +198,7 @@
                 let w = &images[name];
                 if room.cpus + 1e-9 < job.spec.cpus
                     || room.memory_gb + 1e-9 < job.spec.memory_gb
-                    || !c.allowed(&group, w, &job.zones)
+                    || !job.allows(&w.machine_type, &w.zone, w.spot, &job.zones)
                 {
                     continue;
                 }
@@ -431,6 +431,29 @@
     assert!(c.upt_running(&held, 400.0) < c.upt_running(&held, 160.0));
 }
 
+#[test]
+fn a_process_that_lags_leaves_starts_to_check_ins() {
+    // Hundreds of direct messages at once made a leader seconds late for its
+    // lease; the workers' next check-ins carry the same.
+    let mut c = cluster(&["sa", "sb", "sc"], 100.0);
+    c.add_job(spec(1, 3, 4.0), 1, 90.0, &RangeSet::default());
+    assert_eq!(round(&mut c, 100.0).len(), 3);
+    let first = c.direct_messages(100.0, 0.0);
+    assert_eq!(first.len(), 1, "one goes out all the same");
+    assert!(
+        c.direct_messages(100.0, 0.0).is_empty(),
+        "while it is under way"
+    );
+    let carried = start_of(&c, "sb", 100.5);
+    assert_eq!(carried.len(), 1);
+    let commands = c.commands("sb", 100.5);
+    c.sent("sb", &commands);
+    // With time to spare again, only what no check-in carried goes out.
+    let rest = c.direct_messages(101.0, 1.0);
+    let workers: Vec<&str> = rest.iter().map(|m| m.worker.as_str()).collect();
+    assert_eq!((first[0].worker.as_str(), workers), ("sa", vec!["sc"]));
+}
+
 #[test]
 fn an_attempt_whose_direct_start_went_unanswered_stays_known_to_its_worker() {
     // The start may be delivered minutes late. Cleared, it would run again.
--- a/crates/tallygauge/tests/failures.rs
+++ b/crates/tallygauge/tests/failures.rs
@@ -16,7 +16,7 @@
 };
 use tokio::task::JoinHandle;
 use warp::http::Method;
-use world::{LEASE_S, World, until};
+use world::{LEASE_S, REPORT_S, World, until};
 
 fn status_of(reply: &Reply) -> Option<JobStatus> {
     match reply {
@@ -383,3 +383,34 @@
     );
     world.assert_rules();
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_lags_leaves_users_to_nodes_that_answer() {
+    // Submissions taken by a leader that was behind waited up to a second,
+    // while the other nodes had nothing to do. With none of them there, users
+    // must still find the leader.
+    let (_world, a, _task) = led().await;
+    assert!(a.spare() > 0.9 && !a.leaves_users());
+    *a.lock(&a.lag) = REPORT_S;
+    assert!(a.spare() == 0.0);
+    *a.lock(&a.leaves_users_until) = a.now() + LEASE_S;
+    assert!(!a.leaves_users(), "no other node answers");
+    *a.lock(&a.peers_up) = 1;
+    assert!(a.leaves_users());
+    a.step_down("as a test");
+    assert!(!a.leaves_users(), "only a leader does");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_does_not_lead_refuses_before_it_reads() {
+    // Without a leader, all workers call on the nodes left, and what is parsed
+    // for nothing is missing for users.
+    let (_world, a, _task) = led().await;
+    assert!(matches!(check_in(&a, b"{"), CheckIn::Malformed(_)));
+    a.step_down("as a test");
+    assert_eq!(check_in(&a, b"{"), CheckIn::NotNow);
+    a.hear_of(99, Some("n-b"));
+    assert!(
+        matches!(check_in(&a, b"{"), CheckIn::Elsewhere(r) if r.report_to.as_deref() == Some("n-b"))
+    );
+}
--- a/crates/tallygauge/tests/world/mod.rs
+++ b/crates/tallygauge/tests/world/mod.rs
@@ -445,7 +445,8 @@
         Some(self.report(name))
     }
 
-    /// Adds machines that were rented long ago.
+    /// Adds machines that were rented long ago, for the load example.
+    #[allow(dead_code)]
     pub fn furnish(&mut self, count: u32) {
         for _ in 0..count {
             let name = format!("host-{:06}", self.next_machine);
@@ -455,7 +456,8 @@
         self.advance(0.0);
     }
 
-    /// Machines that are up.
+    /// Machines that are up, for the load example.
+    #[allow(dead_code)]
     pub fn names(&self) -> Vec<String> {
         self.workers.keys().cloned().collect()
     }
