--- a/crates/tallygauge/src/peers.rs
+++ b/crates/tallygauge/src/peers.rs
@@ -186,14 +186,16 @@
                 }
             }
         }
+        // Old answers do not count when it lags the next time.
+        let mut up = 0;
         if mine && node.now() < *node.lock(&node.leaves_users_until) {
             let asked = clients.iter().map(|(_, client)| {
                 let (mut client, announcement) = (client.clone(), announcement.clone());
                 async move { client.announce(announcement).await.is_ok() }
             });
-            let up = join_all(asked).await.into_iter().filter(|up| *up).count();
-            *node.lock(&node.peers_up) = up;
+            up = join_all(asked).await.into_iter().filter(|up| *up).count();
         }
+        *node.lock(&node.peers_up) = up;
         if !mine {
             let leader = clients.iter().find(|c| Some(&c.0) == role.leader.as_ref());
             if let Some((_, client)) = leader {
