A cut zone's machines are kept though they ran jobs that are over

One not heard of since a stop was not answered since either, so its session ends by the fence before the cancellation is due; only those that are heard of and go on are returned.

--- a/crates/tallygauge-sched/src/machines.rs
+++ b/crates/tallygauge-sched/src/machines.rs
@@ -192,8 +192,14 @@
         if worker.pace.1 >= 3 && worker.pace.0 / f64::from(worker.pace.1) > 1.8 {
             return Some(LeaveReason::Slow);
         }
-        let overdue =
-            |s: Stop| s.reason == StopReason::Cancelled && now - s.at > cfg.cancel_s * 0.7;
+        // Who was not heard of since the stop was not answered since either: by
+        // the fence its session ends in time. Most such machines are in a zone
+        // that is cut off, at work on other jobs.
+        let overdue = |s: Stop| {
+            s.reason == StopReason::Cancelled
+                && worker.heard_at >= s.at
+                && now - s.at > cfg.cancel_s * 0.7
+        };
         let unconfirmed = |h: &Held| h.stop.is_some_and(overdue) && h.occupies();
         worker
             .held
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -431,6 +431,51 @@
     assert!(c.upt_running(&held, 400.0) < c.upt_running(&held, 160.0));
 }
 
+#[test]
+fn a_cut_zone_s_machines_are_kept_though_they_ran_jobs_that_are_over() {
+    // Batches name jobs that are over until their last attempt is. A new leader
+    // returned whole zones that were cut off, with all that ran there, since
+    // nothing confirmed that those attempts had stopped.
+    let mut c = cluster(&[], 100.0);
+    c.inherit("2-7", &left_record(), 100.0, 0.0);
+    let stop = c.workers["sa"].held[0].stop.map(|s| s.reason);
+    assert_eq!(stop, Some(StopReason::Cancelled));
+    let listed = Machine {
+        name: "sa".into(),
+        endpoint: "sa:1".into(),
+        machine_type: "small".into(),
+        zone: "a".into(),
+        spot: false,
+        state: MachineState::Running,
+        age_s: 300.0,
+    };
+    c.on_list(&[listed], 101.0, 101.0);
+    let end = c.session_end(&c.workers["sa"]);
+    assert!(end < 100.0 + c.cfg.cancel_s, "its session ends in time");
+    c.tick(end - 0.1);
+    assert_eq!(
+        (c.workers["sa"].held.len(), c.workers["sa"].leaving),
+        (1, None)
+    );
+    c.tick(end + 0.1);
+    assert_eq!(
+        (c.workers["sa"].held.len(), c.workers["sa"].leaving),
+        (0, None)
+    );
+    // One that is heard of and goes on is returned.
+    let mut c = cluster(&[], 100.0);
+    c.inherit("2-7", &left_record(), 100.0, 0.0);
+    for (seq, now) in [110.0, 120.0, 129.0].into_iter().enumerate() {
+        let runs = vec![task("req-1/0", 77, TaskState::Running, None)];
+        let told = report("sa", 1, seq as u64 + 1, TERM, runs);
+        c.on_report(now, &told, Source::CheckIn);
+        c.answered("sa", now);
+        c.tick(now);
+    }
+    let leaving = c.workers["sa"].leaving.map(|l| l.0);
+    assert_eq!(leaving, Some(LeaveReason::Unconfirmed));
+}
+
 #[test]
 fn a_process_that_lags_leaves_starts_to_check_ins() {
     // Hundreds of direct messages at once made a leader seconds late for its
