--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests.rs
@@ -268,7 +268,31 @@
     }
 }
 
-fn any_job() -> impl Strategy<Value = (u32, u32, u8, u8, f64, bool, bool, Option<f64>)> {
+/// What is drawn of a job: tasks, half CPUs, priority, image, run time, whether
+/// it is the blue team's, whether it may use spot machines, deadline.
+type Drawn = (u32, u32, u8, u8, f64, bool, bool, Option<f64>);
+
+/// The job that was drawn, with so many times its tasks.
+fn spec_of(number: usize, job: Drawn, times: u32) -> JobSpec {
+    let (tasks, cpus, priority, image, expected, blue, spot, deadline) = job;
+    let mut s = spec(number, tasks * times, f64::from(cpus) * 0.5);
+    s.priority = [
+        Priority::Low,
+        Priority::Normal,
+        Priority::High,
+        Priority::Production,
+    ][usize::from(priority)];
+    s.image = format!("i{image}");
+    s.expected_s = expected;
+    s.spot = spot;
+    s.deadline_s = deadline;
+    if blue {
+        s.team = "blue".into();
+    }
+    s
+}
+
+fn any_job() -> impl Strategy<Value = Drawn> {
     (
         1u32..7,
         1u32..9,
@@ -287,15 +311,8 @@
     fn the_mapping_is_that_of_the_plain_model(jobs in prop::collection::vec(any_job(), 1..9), machines in 1usize..7) {
         let names = ["sa", "l1a", "l2b", "ssa", "s3b", "l4a"];
         let mut c = cluster(&names[..machines], 100.0);
-        for (n, (tasks, cpus, priority, image, expected, blue, spot, deadline)) in jobs.into_iter().enumerate() {
-            let mut s = spec(n, tasks, f64::from(cpus) * 0.5);
-            s.priority = [Priority::Low, Priority::Normal, Priority::High, Priority::Production][usize::from(priority)];
-            s.image = format!("i{image}");
-            s.expected_s = expected;
-            s.spot = spot;
-            s.deadline_s = deadline;
-            if blue { s.team = "blue".into(); }
-            c.add_job(s, 1, 10.0 * n as f64, &RangeSet::default());
+        for (n, job) in jobs.into_iter().enumerate() {
+            c.add_job(spec_of(n, job, 1), 1, 10.0 * n as f64, &RangeSet::default());
         }
         let expected = plain(&c, 100.0);
         c.plan(100.0, false);
@@ -440,16 +457,7 @@
     c.inherit("2-7", &left_record(), 100.0, 0.0);
     let stop = c.workers["sa"].held[0].stop.map(|s| s.reason);
     assert_eq!(stop, Some(StopReason::Cancelled));
-    let listed = Machine {
-        name: "sa".into(),
-        endpoint: "sa:1".into(),
-        machine_type: "small".into(),
-        zone: "a".into(),
-        spot: false,
-        state: MachineState::Running,
-        age_s: 300.0,
-    };
-    c.on_list(&[listed], 101.0, 101.0);
+    c.on_list(&[listed(MachineState::Running)], 101.0, 101.0);
     let end = c.session_end(&c.workers["sa"]);
     assert!(end < 100.0 + c.cfg.cancel_s, "its session ends in time");
     c.tick(end - 0.1);
@@ -885,15 +893,8 @@
         let names: Vec<&str> = names.iter().map(String::as_str).collect();
         let mut c = cluster(&names, 100.0);
         for team in &mut c.cfg.teams { team.cpus_max = 120.0; }
-        for (n, (tasks, cpus, priority, image, expected, blue, spot, deadline)) in jobs.into_iter().enumerate() {
-            let mut s = spec(n, tasks * 2, f64::from(cpus) * 0.5);
-            s.priority = [Priority::Low, Priority::Normal, Priority::High, Priority::Production][usize::from(priority)];
-            s.image = format!("i{image}");
-            s.expected_s = expected;
-            s.spot = spot;
-            s.deadline_s = deadline;
-            if blue { s.team = "blue".into(); }
-            c.add_job(s, 1, 3.0 * n as f64, &RangeSet::default());
+        for (n, job) in jobs.into_iter().enumerate() {
+            c.add_job(spec_of(n, job, 2), 1, 3.0 * n as f64, &RangeSet::default());
         }
         let expected = plain(&c, 100.0);
         prop_assert!(expected.len() > 50);
