--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -1,6 +1,9 @@
 //! The leader's picture of jobs, workers and teams.
 
-use crate::{model::*, pages::Pages, placements::before_first, ranges::RangeSet, surplus::Rises};
+use crate::{
+    drains::Drain, model::*, pages::Pages, placements::before_first, ranges::RangeSet,
+    surplus::Rises,
+};
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
@@ -72,6 +75,7 @@
     pub changed: bool,
     /// Machines that went, and when: an old list may still show them.
     pub(crate) departed: BTreeMap<String, f64>,
+    pub(crate) drains: Vec<Drain>,
 }
 
 impl Cluster {
@@ -105,6 +109,7 @@
             events: Vec::new(),
             changed: true,
             departed: BTreeMap::new(),
+            drains: Vec::new(),
         }
     }
 
--- a/crates/tallygauge-sched/src/lib.rs
+++ b/crates/tallygauge-sched/src/lib.rs
@@ -7,6 +7,7 @@
 mod cluster;
 mod commands;
 mod demand;
+mod drains;
 mod ledgers;
 mod machines;
 mod mapping;
@@ -19,13 +20,16 @@
 mod surplus;
 #[cfg(test)]
 mod tests;
+mod why;
 
 pub use cluster::Cluster;
 pub use commands::DirectMessage;
 pub use demand::{Rental, SpotKind};
+pub use drains::{Drain, DrainProgress, Scope};
 pub use model::*;
 pub use pages::{PageFlush, PageRecord, PageWrite, Pages, Part};
 pub use placements::Batch;
 pub use progress::{Completion, Flush};
 pub use ranges::RangeSet;
 pub use reports::{Source, Verdict};
+pub use why::{Reason, Why};
--- a/crates/tallygauge-sched/src/tests.rs
+++ b/crates/tallygauge-sched/src/tests/mod.rs
@@ -1,5 +1,7 @@
 //! The mapping against a slow plain model, and the picture's safety.
 
+mod drains;
+
 use crate::{mapping::Group, *};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, HashMap};
