--- a/crates/tallygauge/src/server.rs
+++ b/crates/tallygauge/src/server.rs
@@ -5,15 +5,10 @@
     users::{self, Reply},
     workers::{self, CheckIn},
 };
-use bytes::Buf;
-use futures_util::{Stream, StreamExt};
-use hyper::server::conn::http1;
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    service::TowerToHyperService,
-};
+use hyper_util::service::TowerToHyperService;
 use std::{sync::Arc, time::Duration};
-use tallygauge_wire::{BODY_LIMIT, users::ErrorBody};
+use tallygauge_ops::{accept, bounded_body};
+use tallygauge_wire::users::ErrorBody;
 use tokio::net::TcpListener;
 use warp::{
     Filter,
@@ -99,7 +94,7 @@
         .then(move |method, path: warp::path::FullPath, body| {
             let node = node.clone();
             async move {
-                match collect(body).await {
+                match bounded_body(body).await {
                     Some(body) => route(node, method, path.as_str().to_string(), body).await,
                     None => error(400, "the body is over 64 KiB or broke off"),
                 }
@@ -107,43 +102,10 @@
         });
     let service = TowerToHyperService::new(warp::service(routes));
     let listener = TcpListener::bind(addr).await.expect("the address is free");
-    // A caller that went without a word must not hold a socket for ever.
-    let idle = Duration::from_secs_f64(lease_s * 2.0);
-    let mut http = http1::Builder::new();
-    http.timer(TokioTimer::new()).header_read_timeout(idle);
-    // Warp's own loop would first find out which version of HTTP each
-    // connection speaks, and look at that again at every turn.
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let one = callers.enter();
-                let connection = http.serve_connection(TokioIo::new(stream), service.clone());
-                tokio::spawn(async move {
-                    let _ = connection.await;
-                    drop(one);
-                });
-            }
-            // Out of sockets: those in use end some time.
-            Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
-        }
-    }
-}
-
-/// Reads a body of bounded size.
-async fn collect(body: impl Stream<Item = Result<impl Buf, warp::Error>>) -> Option<Vec<u8>> {
-    let mut body = std::pin::pin!(body);
-    let mut out = Vec::new();
-    while let Some(part) = body.next().await {
-        let mut part = part.ok()?;
-        if out.len() + part.remaining() > BODY_LIMIT {
-            return None;
-        }
-        while part.has_remaining() {
-            let chunk = part.chunk();
-            out.extend_from_slice(chunk);
-            let n = chunk.len();
-            part.advance(n);
-        }
-    }
-    Some(out)
+    // A caller that went without a word must not hold a socket for ever; a
+    // worker that says nothing for a lease has lost it. Warp's own loop would
+    // first find out which version of HTTP each connection speaks, and look at
+    // that again at every turn.
+    let idle = Duration::from_secs_f64(lease_s);
+    accept(listener, service, idle, |_| Some(callers.enter())).await;
 }
