--- a/crates/tallygauge-state/src/http.rs
+++ b/crates/tallygauge-state/src/http.rs
@@ -1,16 +1,31 @@
 //! A small JSON-over-HTTP client with bounded time and size.
 
+use crate::open::{OneOpen, Open};
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, StatusCode, header};
+use hyper::{
+    Method, Request, StatusCode, Uri, header,
+    rt::{Read, ReadBufCursor, Write},
+};
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
+    client::legacy::{
+        Client,
+        connect::{Connected, Connection, HttpConnector},
+    },
+    rt::{TokioExecutor, TokioIo, TokioTimer},
 };
 use serde::Serialize;
-use std::{future::Future, pin::Pin, sync::Arc, time::Duration};
-use tokio::sync::mpsc;
+use std::{
+    future::Future,
+    io::{IoSlice, Result as IoResult},
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
+use tokio::{net::TcpStream, sync::mpsc};
+use tower_service::Service;
 
 /// Why there is no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,9 +50,87 @@
     ) -> Pin<Box<dyn Future<Output = Answer> + Send>>;
 }
 
+/// Connects, and counts what is open.
+#[derive(Clone)]
+struct Counting {
+    connector: HttpConnector,
+    open: Open,
+}
+
+impl Service<Uri> for Counting {
+    type Response = Counted;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<Counted, Self::Error>> + Send>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.connector.poll_ready(cx)
+    }
+
+    fn call(&mut self, to: Uri) -> Self::Future {
+        let one = self.open.enter();
+        let connecting = self.connector.call(to);
+        Box::pin(async move {
+            let stream = connecting.await?;
+            Ok(Counted { stream, _one: one })
+        })
+    }
+}
+
+/// A connection that is counted while it is open.
+struct Counted {
+    stream: TokioIo<TcpStream>,
+    _one: OneOpen,
+}
+
+impl Connection for Counted {
+    fn connected(&self) -> Connected {
+        self.stream.connected()
+    }
+}
+
+impl Read for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<IoResult<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl Write for Counted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<IoResult<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<IoResult<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<IoResult<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<IoResult<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+}
+
 #[derive(Clone)]
 enum Carrier {
-    Network(Box<Client<HttpConnector, Full<Bytes>>>),
+    Network(Box<Client<Counting, Full<Bytes>>>),
     StandIn(Arc<dyn Transport>),
 }
 
@@ -46,6 +139,7 @@
 pub struct Http {
     carrier: Carrier,
     limit: usize,
+    open: Open,
 }
 
 type Work = Pin<Box<dyn Future<Output = ()> + Send>>;
@@ -109,23 +203,35 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(connect));
         connector.set_nodelay(true);
+        let open = Open::default();
         let client = Client::builder(executor)
             .pool_idle_timeout(idle)
             .pool_max_idle_per_host(4)
             .pool_timer(TokioTimer::new())
-            .build(connector);
+            .build(Counting {
+                connector,
+                open: open.clone(),
+            });
         Self {
             carrier: Carrier::Network(Box::new(client)),
             limit,
+            open,
         }
     }
 
+    /// Connections of this client that are open.
+    #[must_use]
+    pub fn open(&self) -> &Open {
+        &self.open
+    }
+
     /// A client whose requests something else carries.
     #[must_use]
     pub fn over(transport: Arc<dyn Transport>) -> Self {
         Self {
             carrier: Carrier::StandIn(transport),
             limit: usize::MAX,
+            open: Open::default(),
         }
     }
 
@@ -139,6 +245,22 @@
         url: &str,
         body: Option<&B>,
         timeout: Duration,
+    ) -> Answer {
+        self.send(method, url, body, timeout, true).await
+    }
+
+    /// Does what [`Http::call`] does, and keeps the connection for further
+    /// requests only if `keep` says so.
+    ///
+    /// # Errors
+    /// When there is no answer, or none that is whole.
+    pub async fn send<B: Serialize>(
+        &self,
+        method: Method,
+        url: &str,
+        body: Option<&B>,
+        timeout: Duration,
+        keep: bool,
     ) -> Answer {
         let bytes = match body {
             Some(body) => Bytes::from(serde_json::to_vec(body).map_err(|_| NoAnswer::NotSent)?),
@@ -147,7 +269,7 @@
         let exchange = async {
             match &self.carrier {
                 Carrier::StandIn(transport) => transport.carry(method, url.into(), bytes).await,
-                Carrier::Network(client) => self.exchange(client, method, url, bytes).await,
+                Carrier::Network(client) => self.exchange(client, method, url, bytes, keep).await,
             }
         };
         tokio::time::timeout(timeout, exchange)
@@ -157,12 +279,16 @@
 
     async fn exchange(
         &self,
-        client: &Client<HttpConnector, Full<Bytes>>,
+        client: &Client<Counting, Full<Bytes>>,
         method: Method,
         url: &str,
         body: Bytes,
+        keep: bool,
     ) -> Answer {
         let mut request = Request::builder().method(method).uri(url);
+        if !keep {
+            request = request.header(header::CONNECTION, "close");
+        }
         if !body.is_empty() {
             request = request.header(header::CONTENT_TYPE, "application/json");
         }
--- a/crates/tallygauge-state/src/lib.rs
+++ b/crates/tallygauge-state/src/lib.rs
@@ -8,9 +8,11 @@
 mod budget;
 mod causes;
 pub mod http;
+mod open;
 
 pub use budget::{Budget, Class};
 pub use causes::first_time;
+pub use open::{OneOpen, Open};
 
 use http::{Answer, Http, NoAnswer};
 use hyper::{Method, StatusCode};
--- a/crates/tallygauge-wire/src/users.rs
+++ b/crates/tallygauge-wire/src/users.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Seconds that a user waits for the state of a job.
+pub const POLL_WAIT_S: f64 = 2.0;
+
 /// Whether tasks run to completion or until the job is cancelled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/tallygauge/src/cloud.rs
+++ b/crates/tallygauge/src/cloud.rs
@@ -138,7 +138,7 @@
         if pending.is_none() && listed.is_finite() {
             // What the leader before asked for last may not be listed yet.
             let settled = term == 1 || node.now() - began > limits.list_lag_s;
-            let wanted = settled
+            let wanted = (settled && node.may_command())
                 .then(|| node.with_cluster(|c| c.rentals(node.now())))
                 .flatten()
                 .unwrap_or_default();
@@ -156,7 +156,9 @@
                 }
             });
         }
-        if let Some(p) = pending.take() {
+        // A leader that has not heard for long whether it still is one rents
+        // nothing: another may be doing so.
+        if let Some(p) = pending.take_if(|_| node.may_command()) {
             pending = rent(node, p).await;
             if pending.is_some() {
                 tokio::time::sleep(pause * 4).await;
@@ -220,11 +222,16 @@
 
 /// Returns machines that are not wanted. What has no task on it may go; from
 /// the moment it is asked for, nothing is placed on it any more, since the
-/// request may be carried out late.
+/// request may be carried out late. While another node may lead, and use these
+/// machines, only those go that can't confirm that cancelled work stopped.
 async fn give_back(node: &Node, pause: Duration) {
-    let now = node.now();
+    if !node.may_command() {
+        return;
+    }
+    let (now, sure) = (node.now(), node.surely_leads());
     let Some(due) = node.with_cluster(|c| {
         let mut due = c.returns(now);
+        due.retain(|d| sure || d.1 == LeaveReason::Unconfirmed);
         due.truncate(MAX_RETURN);
         let names: Vec<String> = due.iter().map(|d| d.0.clone()).collect();
         c.return_sent(&names);
--- a/crates/tallygauge/src/control.rs
+++ b/crates/tallygauge/src/control.rs
@@ -122,6 +122,7 @@
 fn summarize(node: &Node, longest_round_s: f64) {
     let backlog = node.state.budget().waiting();
     let lag = *node.lock(&node.lag);
+    let (sockets, sockets_free) = (node.sockets.used(), node.sockets.free());
     node.with_cluster(|c| {
         let held = |w: &tallygauge_sched::Worker| w.held.iter().filter(|h| h.occupies()).count();
         let running: usize = c.workers.values().map(held).sum();
@@ -145,6 +146,8 @@
             round_ms = (longest_round_s * 1000.0) as u64,
             lag_ms = (lag * 1000.0) as u64,
             writes_waiting = backlog,
+            sockets,
+            sockets_free,
             "summary"
         );
     });
--- a/crates/tallygauge/src/leader.rs
+++ b/crates/tallygauge/src/leader.rs
@@ -81,6 +81,7 @@
                 tokio::time::sleep(ttl / 4).await;
             }
             None => {
+                let asked = node.now();
                 let lease = match node.state.grant(ttl).await {
                     Ok(lease) => lease,
                     Err(_) => {
@@ -88,7 +89,7 @@
                         continue;
                     }
                 };
-                match win(&node, &terms, lease).await {
+                match win(&node, &terms, lease, asked).await {
                     Some(lead) => {
                         office(&node, lead, lease).await;
                         let _ = node.state.end_lease(lease).await;
@@ -114,8 +115,9 @@
 }
 
 /// Tries to win the next term: the leader key must be free and the term as it
-/// was read. `None` when another was faster.
-async fn win(node: &Node, terms: &Terms, lease: u64) -> Option<Lead> {
+/// was read. `None` when another was faster. The lease was asked for at
+/// `granted`.
+async fn win(node: &Node, terms: &Terms, lease: u64, granted: f64) -> Option<Lead> {
     let term = terms.term + 1;
     let name = node.settings.node_name.clone();
     let leader = LeaderRecord {
@@ -173,6 +175,7 @@
         },
         cluster: None,
         confirmed: asked,
+        renewed: granted,
         watched: asked,
         called: node.now(),
     };
@@ -233,6 +236,7 @@
             Ok(true) => {
                 if let Some(lead) = node.lock(&node.lead).as_mut() {
                     lead.confirmed = lead.confirmed.max(asked);
+                    lead.renewed = lead.renewed.max(asked);
                 }
                 tokio::time::sleep(ttl / 4).await;
             }
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod peers;
 pub mod server;
 pub mod settings;
+pub mod sockets;
 pub mod tuning;
 pub mod users;
 pub mod workers;
--- a/crates/tallygauge/src/node.rs
+++ b/crates/tallygauge/src/node.rs
@@ -1,6 +1,6 @@
 //! What the parts of a controller share.
 
-use crate::{settings::Settings, tuning::Tuning, users::Relay};
+use crate::{settings::Settings, sockets::Sockets, tuning::Tuning, users::Relay};
 use std::{
     collections::{BTreeSet, HashMap, VecDeque},
     sync::{Arc, Mutex, MutexGuard},
@@ -128,14 +128,26 @@
     pub guard: Guard,
     /// The picture; `None` while it is being loaded.
     pub cluster: Option<Cluster>,
-    /// When the lease was last known to hold.
+    /// When the term was last known not to have passed on.
     pub confirmed: f64,
+    /// Start of the last renewal of the lease that was answered: for its time
+    /// to live from then no other node can win a term.
+    pub renewed: f64,
     /// Start of the last watch that was answered.
     pub watched: f64,
     /// When a worker last called.
     pub called: f64,
 }
 
+impl Lead {
+    /// Whether the term was not confirmed, or the watch of jobs not answered,
+    /// for longer than `fence`: workers are neither answered nor commanded.
+    #[must_use]
+    pub fn fenced(&self, now: f64, fence: f64) -> bool {
+        now - self.confirmed.min(self.watched) > fence
+    }
+}
+
 /// Task counts of open jobs, for display.
 #[derive(Default)]
 pub struct Counts {
@@ -163,6 +175,8 @@
     pub state: Client,
     /// For cloud and workers.
     pub http: Http,
+    /// Connections against the limit.
+    pub sockets: Sockets,
     /// Start of the process's clock.
     pub began: Instant,
     /// Machine types, once known.
@@ -217,6 +231,8 @@
         http: Http,
     ) -> (Arc<Self>, mpsc::Receiver<Query>) {
         let limits = &settings.deployment.state;
+        let ours = vec![state.open().clone(), http.open().clone()];
+        let sockets = Sockets::new(settings.deployment.quota.sockets, ours);
         let timeout = Duration::from_secs_f64(settings.deployment.workers.lease_s / 12.0)
             .clamp(Duration::from_millis(500), Duration::from_secs(2));
         let share = 1.0 / f64::from(settings.deployment.count.max(1));
@@ -230,6 +246,7 @@
             tuning,
             state,
             http,
+            sockets,
             began: Instant::now(),
             catalogue: Mutex::default(),
             jobs: Mutex::new(JobCache::new(most.max(1000))),
@@ -279,6 +296,27 @@
         (w.cancel_s - w.lease_s) * 0.85
     }
 
+    /// Whether no other node can lead now: the lease was renewed so lately that
+    /// it still holds, with a little to spare for what is done on the strength
+    /// of it. To be asked right before acting, with no await in between: a
+    /// process may have stood still for seconds at any of them.
+    #[must_use]
+    pub fn surely_leads(&self) -> bool {
+        let now = self.now();
+        let ttl = self.term_ttl().as_secs_f64();
+        let lead = self.lock(&self.lead);
+        lead.as_ref().is_some_and(|l| now - l.renewed < ttl * 0.9)
+    }
+
+    /// Whether this node leads and may answer and command workers. To be asked
+    /// right before acting, as [`Node::surely_leads`] is.
+    #[must_use]
+    pub fn may_command(&self) -> bool {
+        let (now, fence) = (self.now(), self.fence_s());
+        let lead = self.lock(&self.lead);
+        lead.as_ref().is_some_and(|l| !l.fenced(now, fence))
+    }
+
     /// Part of the work that can be left out which this process has time for:
     /// none when answers are late by a good part of a report interval.
     #[must_use]
@@ -287,9 +325,22 @@
         (1.0 - *self.lock(&self.lag) / most).clamp(0.0, 1.0)
     }
 
+    /// Part of the direct messages that this process has time and connections
+    /// for.
+    #[must_use]
+    pub fn spare_direct(&self) -> f64 {
+        let most = self.most_direct() as f64;
+        self.spare().min(self.sockets.free() as f64 / most)
+    }
+
+    /// Direct messages that may be under way at a time.
+    fn most_direct(&self) -> usize {
+        (self.settings.deployment.quota.sockets as usize / 16).max(8)
+    }
+
     /// Measures for ever how late this process is, in a task that queues like
-    /// any worker's request. A node without time to spare leaves users to the
-    /// others for a lease, should it lead.
+    /// any worker's request. A node without time or connections to spare leaves
+    /// users to the others for a lease, should it lead.
     pub async fn measure_lag(self: Arc<Self>) {
         let w = &self.settings.deployment.workers;
         let step = w.report_s * LAG_STEP;
@@ -301,14 +352,15 @@
                 let mut lag = self.lock(&self.lag);
                 *lag += (late - *lag) * 0.5;
             }
-            if self.spare() == 0.0 {
+            if self.spare() == 0.0 || self.sockets.short() {
                 *self.lock(&self.leaves_users_until) = self.now() + w.lease_s;
             }
         }
     }
 
     /// Whether users are better served by the other nodes: this one leads, has
-    /// lagged of late, and at least half of the others answer.
+    /// lagged or been short of connections of late, and at least half of the
+    /// others answer.
     #[must_use]
     pub fn leaves_users(&self) -> bool {
         let enough = self.settings.peers.len().div_ceil(2).max(1);
@@ -354,7 +406,7 @@
                 .collect(),
             // A report must fit a request's body.
             tasks_per_worker: tallygauge_wire::BODY_LIMIT / TASK_REPORT_BYTES,
-            most_direct: (d.quota.sockets as usize / 16).max(8),
+            most_direct: self.most_direct(),
             term,
         }
     }
--- a/crates/tallygauge/src/server.rs
+++ b/crates/tallygauge/src/server.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 use warp::{
     Filter,
-    http::{Method, Response, StatusCode},
+    http::{HeaderValue, Method, Response, StatusCode, header::CONNECTION},
 };
 
 type Answer = Response<Vec<u8>>;
@@ -37,12 +37,18 @@
     respond(status, serde_json::to_vec(&body).unwrap_or_default(), None)
 }
 
-fn user(reply: &Reply) -> Answer {
+/// A user's connection is closed after the answer where connections are short.
+fn user(node: &Node, reply: &Reply) -> Answer {
     let retry = match reply {
         Reply::Later(_, seconds) => Some(*seconds),
         _ => None,
     };
-    respond(reply.status(), reply.body(), retry)
+    let mut answer = respond(reply.status(), reply.body(), retry);
+    if node.sockets.short() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    answer
 }
 
 fn worker(answer: &CheckIn) -> Answer {
@@ -60,7 +66,7 @@
     let post = method == Method::POST;
     match parts.as_slice() {
         ["work", ..] => match users::serve(&node, &method, &path, &body).await {
-            Some(reply) => user(&reply),
+            Some(reply) => user(&node, &reply),
             None => error(405, "no such request about jobs"),
         },
         ["checkin"] if post => worker(&workers::check_in(&node, &body)),
@@ -86,6 +92,7 @@
 pub async fn serve(node: Arc<Node>) {
     let addr = node.settings.client_listen;
     let lease_s = node.settings.deployment.workers.lease_s;
+    let callers = node.sockets.callers.clone();
     let routes = warp::method()
         .and(warp::path::full())
         .and(warp::body::stream())
@@ -109,8 +116,12 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                let one = callers.enter();
                 let connection = http.serve_connection(TokioIo::new(stream), service.clone());
-                tokio::spawn(connection);
+                tokio::spawn(async move {
+                    let _ = connection.await;
+                    drop(one);
+                });
             }
             // Out of sockets: those in use end some time.
             Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
--- a/crates/tallygauge/src/users.rs
+++ b/crates/tallygauge/src/users.rs
@@ -8,7 +8,7 @@
 use tallygauge_state::{Class, Error, Outcome};
 use tallygauge_wire::{
     state::{Guard, Transaction, Write},
-    users::{ErrorBody, JobAnswer, JobSpec, JobStatus, Shape, valid_job_id},
+    users::{ErrorBody, JobAnswer, JobSpec, JobStatus, POLL_WAIT_S, Shape, valid_job_id},
 };
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use warp::http::Method;
@@ -48,8 +48,13 @@
 /// as long as users are told to wait.
 const RELAY_PAUSE_S: f64 = 1.0;
 
-/// Seconds that another node may take: a user waits two for the state of a job.
-const RELAY_WAIT_S: f64 = 0.5;
+/// Seconds that another node may take.
+const RELAY_WAIT_S: f64 = POLL_WAIT_S / 4.0;
+
+/// Seconds after which what the state service said of an open job is asked
+/// again before a user is told: the process may have stood still meanwhile, and
+/// the job may be over and its user told so elsewhere.
+const FRESH_S: f64 = POLL_WAIT_S / 2.0;
 
 impl Reply {
     /// Status code.
@@ -127,9 +132,14 @@
         return None;
     }
     let most = Duration::from_secs_f64(RELAY_WAIT_S);
-    match tokio::time::timeout(most, relay.pass(method, path, body)).await {
-        Ok(Some((status, body))) => Some(Reply::Passed(status, body)),
-        Ok(None) | Err(_) => {
+    let asked = node.now();
+    let answer = tokio::time::timeout(most, relay.pass(method, path, body)).await;
+    // An answer that lay there while this process stood still may be out of
+    // date: the timeout above lets it pass.
+    let late = node.now() - asked > FRESH_S;
+    match answer {
+        Ok(Some((status, body))) if !late => Some(Reply::Passed(status, body)),
+        Ok(_) | Err(_) => {
             *node.lock(&node.relay_after) = node.now() + RELAY_PAUSE_S;
             None
         }
@@ -234,16 +244,23 @@
     answer.await.ok()?
 }
 
-/// What is true of a job now; `None` if that can't be known.
+/// What is true of a job now; `None` if that can't be known. Between the last
+/// look at the clock and the caller's answer there is no await.
 async fn lookup(node: &Node, id: &str) -> Option<Found> {
     let guard = |key: String, version| Guard { key, version };
-    for _ in 0..3 {
+    // Once for each turn that a job's state may take, and once more.
+    for _ in 0..4 {
+        let asked = node.now();
+        let fresh = || node.now() - asked <= FRESH_S;
         let known = node.lock(&node.jobs).get(id);
         match known {
             Some(Known::Over(status, done)) => return Some(Found::Over(status, done)),
             Some(Known::Open(version)) => {
                 if ask(node, vec![guard(open_key(id), version)]).await?[0] {
-                    return Some(Found::Open);
+                    if fresh() {
+                        return Some(Found::Open);
+                    }
+                    continue;
                 }
                 node.lock(&node.jobs).forget_open(id, version);
             }
@@ -251,13 +268,19 @@
                 let verdict =
                     ask(node, vec![guard(open_key(id), 0), guard(over_key(id), 0)]).await?;
                 if verdict[0] && verdict[1] {
-                    return Some(Found::Unknown);
+                    if fresh() {
+                        return Some(Found::Unknown);
+                    }
+                    continue;
                 }
                 if !verdict[0]
                     && let Some(row) = node.state.get(Class::Users, &open_key(id)).await.ok()?
                 {
                     node.lock(&node.jobs).put(id, Known::Open(row.version));
-                    return Some(Found::Open);
+                    if fresh() {
+                        return Some(Found::Open);
+                    }
+                    continue;
                 }
                 if let Some(row) = node.state.get(Class::Users, &over_key(id)).await.ok()? {
                     let record: OverRecord = serde_json::from_value(row.value).ok()?;
--- a/crates/tallygauge/src/workers.rs
+++ b/crates/tallygauge/src/workers.rs
@@ -71,7 +71,7 @@
             }
             // Unconfirmed for too long: whoever leads now may have cancelled
             // or placed what these workers run.
-            Some(lead) if now - lead.confirmed.min(lead.watched) > fence => {
+            Some(lead) if lead.fenced(now, fence) => {
                 return CheckIn::NotNow;
             }
             Some(lead) => {
@@ -127,13 +127,16 @@
 }
 
 /// Sends all direct messages that are due, each in a task of its own; a worker
-/// has one under way at most, so their number is bounded.
+/// has one under way at most, so their number is bounded. A leader that may not
+/// answer workers sends them nothing either.
 pub fn dispatch(node: &Arc<Node>) {
-    let now = node.now();
+    let (now, fence) = (node.now(), node.fence_s());
     let (term, messages) = {
         let mut lead = node.lock(&node.lead);
-        let Some(lead) = lead.as_mut() else { return };
-        let (term, spare) = (lead.term, node.spare());
+        let Some(lead) = lead.as_mut().filter(|l| !l.fenced(now, fence)) else {
+            return;
+        };
+        let (term, spare) = (lead.term, node.spare_direct());
         let Some(cluster) = lead.cluster.as_mut() else {
             return;
         };
@@ -153,10 +156,15 @@
     };
     let url = format!("http://{}/orders", message.endpoint);
     let timeout = Duration::from_secs_f64(node.settings.deployment.workers.lease_s / 6.0);
-    let result = node
-        .http
-        .call(warp::http::Method::POST, &url, Some(&body), timeout)
-        .await;
+    // The task may have had to wait, or the process may have stood still, since
+    // the message was made up.
+    let result = if node.may_command() {
+        let post = warp::http::Method::POST;
+        let keep = !node.sockets.few();
+        node.http.send(post, &url, Some(&body), timeout, keep).await
+    } else {
+        Err(NoAnswer::NotSent)
+    };
     let report = match &result {
         Ok((status, bytes)) if status.as_u16() == 200 || status.as_u16() == 409 => {
             serde_json::from_slice::<Report>(bytes).ok()
--- /dev/null
+++ b/crates/tallygauge/tests/freezes.rs
@@ -0,0 +1,270 @@
+//! Controllers that stand still for seconds while their clocks run on: what
+//! they knew before is looked at again before they act on it.
+
+mod world;
+
+use std::{sync::Arc, time::Duration};
+use tallygauge::{
+    node::Node,
+    users::{self, Passing, Relay},
+};
+use tallygauge_wire::users::JobStatus;
+use warp::http::Method;
+use world::{CANCEL_S, FreezeAt, To, World, accepted, ask, led, started, status_of, until};
+
+/// Cancels a job, through whichever node answers.
+async fn cancelled(world: &World, nodes: &[&Arc<Node>], id: &str) -> JobStatus {
+    let mut told = None;
+    let done = until(60.0, async || {
+        for node in nodes {
+            if world.is_frozen(&node.settings.node_name) {
+                continue;
+            }
+            told = status_of(&users::cancel(node, id).await);
+            if told.is_some() {
+                return true;
+            }
+        }
+        false
+    });
+    assert!(done.await, "{id} can't be cancelled");
+    let told = told.unwrap();
+    if told == JobStatus::Cancelled {
+        let now = world.now();
+        world.inner.lock().unwrap().cancelled.insert(id.into(), now);
+    }
+    told
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_stood_still_returns_no_machine_that_its_successor_uses() {
+    // After the pause all machines look idle for long to it, and it may have
+    // been replaced: it returned machines on which its successor's tasks ran.
+    let (world, a, _ta) = led().await;
+    let (_, body) = world.job(1, 2, 8.0, 5.0);
+    accepted(&a, &body).await;
+    assert!(until(60.0, async || started(&world) == 2).await);
+    assert!(
+        until(60.0, async || a.with_cluster(|c| c.jobs.is_empty())
+            == Some(true))
+        .await
+    );
+    world.freeze("n-a");
+    let (b, _tb) = world.node("n-b");
+    let (other, body) = world.job(2, 2, 8.0, 60.0);
+    accepted(&b, &body).await;
+    assert!(until(20.0, async || started(&world) == 4).await);
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    // Nobody tells it what has happened: neither workers nor the state service.
+    world.inner.lock().unwrap().cut.insert("n-a".into());
+    world.thaw("n-a");
+    assert!(
+        until(90.0, async || ask(&b, &other).await
+            == Some(JobStatus::Done))
+        .await
+    );
+    assert_eq!(world.inner.lock().unwrap().lost_work, 0);
+    assert_eq!(started(&world), 4, "nothing ran again");
+    world.assert_rules();
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_stood_still_commands_nobody_before_it_knows_that_it_leads() {
+    // The answer to its watch of jobs lay there when it went on, with a
+    // cancellation: it told workers at once, in the name of a term long gone.
+    let (world, a, _ta) = led().await;
+    let (id, body) = world.job(1, 2, 8.0, 90.0);
+    accepted(&a, &body).await;
+    assert!(until(60.0, async || started(&world) == 2).await);
+    let (b, _tb) = world.node("n-b");
+    world.inner.lock().unwrap().hold_watches = true;
+    assert_eq!(cancelled(&world, &[&b], &id).await, JobStatus::Cancelled);
+    {
+        let mut inner = world.inner.lock().unwrap();
+        inner.hold_watches = false;
+        inner.freeze_at = Some(FreezeAt {
+            node: "n-a".into(),
+            request: "GET /changes?starts=o/",
+            answered: true,
+        });
+    }
+    assert!(until(5.0, async || world.is_frozen("n-a")).await);
+    let still_since = world.now();
+    // Its successor uses the same machines.
+    let (_, body) = world.job(2, 2, 8.0, 60.0);
+    accepted(&b, &body).await;
+    assert!(until(8.0, async || started(&world) == 4).await);
+    // Past the fence, though its workers' sessions have not run out yet.
+    let rest = a.fence_s() + 0.5 - (world.now() - still_since);
+    tokio::time::sleep(Duration::from_secs_f64(rest)).await;
+    world.inner.lock().unwrap().cut.insert("n-a".into());
+    world.thaw("n-a");
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let inner = world.inner.lock().unwrap();
+    assert_eq!(inner.bounced, 0, "a message of an old term went out");
+    assert!(inner.broken.is_empty(), "{:?}", inner.broken);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_was_true_before_a_node_stood_still_is_asked_again() {
+    // The state service called the job open, then the node stood still; its
+    // user cancelled the job through another, and was told that it is pending.
+    let (world, a, _ta) = led().await;
+    let (b, _tb) = world.node("n-b");
+    let (id, body) = world.job(1, 1, 8.0, 90.0);
+    accepted(&b, &body).await;
+    world.inner.lock().unwrap().freeze_at = Some(FreezeAt {
+        node: "n-b".into(),
+        request: "POST /multi",
+        answered: true,
+    });
+    let (w, n, job) = (world.clone(), b.clone(), id.clone());
+    let poll = tokio::spawn(async move {
+        let poll = async { status_of(&users::status(&n, &job).await) };
+        w.on("n-b", poll).await
+    });
+    assert!(until(5.0, async || world.is_frozen("n-b")).await);
+    assert_eq!(cancelled(&world, &[&a], &id).await, JobStatus::Cancelled);
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    world.thaw("n-b");
+    assert_eq!(poll.await.unwrap(), Some(JobStatus::Cancelled));
+}
+
+/// Passes requests on to another node, and makes its own stand still once it
+/// has the answer.
+struct ThenStill(To, Arc<World>, &'static str);
+
+impl Relay for ThenStill {
+    fn pass<'a>(&'a self, method: &'a Method, path: &'a str, body: &'a [u8]) -> Passing<'a> {
+        Box::pin(async move {
+            let answer = self.0.pass(method, path, body).await;
+            self.1.freeze(self.2);
+            tokio::task::yield_now().await;
+            answer
+        })
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_relayed_before_a_node_stood_still_is_not_passed_on() {
+    let (world, a, _ta) = led().await;
+    let (b, _tb) = world.node("n-b");
+    let (id, body) = world.job(1, 1, 8.0, 90.0);
+    accepted(&a, &body).await;
+    world.inner.lock().unwrap().cut.insert("n-b".into());
+    // It has to find out that it is refused.
+    let _ = users::status(&b, &id).await;
+    *b.lock(&b.relay) = Some(Arc::new(ThenStill(To(a.clone()), world.clone(), "n-b")));
+    let (w, n, path) = (world.clone(), b.clone(), format!("/work/{id}"));
+    let poll = tokio::spawn(async move {
+        let poll = async {
+            let reply = users::serve(&n, &Method::GET, &path, b"").await.unwrap();
+            (reply.status(), reply.body())
+        };
+        w.on("n-b", poll).await
+    });
+    assert!(until(5.0, async || world.is_frozen("n-b")).await);
+    assert_eq!(cancelled(&world, &[&a], &id).await, JobStatus::Cancelled);
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    world.thaw("n-b");
+    let (status, body) = poll.await.unwrap();
+    let body = String::from_utf8(body).unwrap();
+    assert!(
+        status == 503 || body.contains("cancelled"),
+        "{status} {body}"
+    );
+}
+
+/// A day of three jobs on two nodes, one of which stands still for `pause_s` at
+/// the place given; one job is cancelled meanwhile, another submitted.
+async fn stands_still(at: FreezeAt, pause_s: f64, both: bool, down: bool) {
+    let what = format!(
+        "{} answered={} {pause_s} s both={both} down={down}",
+        at.request, at.answered
+    );
+    let (world, a, _ta) = led().await;
+    let (b, _tb) = world.node("n-b");
+    let (first, body) = world.job(1, 5, 4.0, 12.0);
+    accepted(&a, &body).await;
+    let (second, body) = world.job(2, 3, 4.0, 30.0);
+    accepted(&b, &body).await;
+    assert!(until(60.0, async || started(&world) >= 4).await, "{what}");
+    let who = at.node.clone();
+    world.inner.lock().unwrap().freeze_at = Some(at);
+    let other = if who == "n-a" { &b } else { &a };
+    // It has happened within a while, or does now.
+    until(20.0, async || world.is_frozen(&who)).await;
+    world.inner.lock().unwrap().freeze_at = None;
+    world.freeze(&who);
+    if both {
+        world.freeze(&other.settings.node_name);
+    }
+    if down {
+        world.set_down(true);
+    }
+    let (third, body) = world.job(3, 2, 2.0, 5.0);
+    let submission = world.on(&other.settings.node_name, accepted(other, &body));
+    let pause = async {
+        if !both && !down {
+            cancelled(&world, &[other], &second).await;
+        }
+        tokio::time::sleep(Duration::from_secs_f64(pause_s)).await;
+        world.set_down(false);
+        world.thaw(&who);
+        world.thaw(&other.settings.node_name);
+    };
+    tokio::join!(submission, pause);
+    let told = cancelled(&world, &[&a, &b], &second).await;
+    for (node, id, end) in [
+        (&a, &first, JobStatus::Done),
+        (&b, &first, JobStatus::Done),
+        (&a, &third, JobStatus::Done),
+        (&b, &third, JobStatus::Done),
+        (&a, &second, told),
+        (&b, &second, told),
+    ] {
+        let said = until(200.0, async || ask(node, id).await == Some(end)).await;
+        assert!(said, "{what}: {id}");
+    }
+    tokio::time::sleep(Duration::from_secs_f64(CANCEL_S)).await;
+    let inner = world.inner.lock().unwrap();
+    assert!(inner.broken.is_empty(), "{what}: {:?}", inner.broken);
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_rule_breaks_wherever_a_node_stands_still() {
+    let requests = [
+        "POST /multi",
+        "POST /orders",
+        "POST /leases/",
+        "POST /machines",
+        "GET /machines",
+        "GET /changes?starts=o/",
+        "GET /changes?starts=t/",
+        "GET /store",
+    ];
+    for request in requests {
+        for (node, answered, pause_s) in [
+            ("n-a", false, 8.0),
+            ("n-a", true, 8.0),
+            ("n-a", true, 35.0),
+            ("n-b", true, 8.0),
+        ] {
+            let node = node.to_string();
+            let at = FreezeAt {
+                node,
+                request,
+                answered,
+            };
+            stands_still(at, pause_s, false, false).await;
+        }
+    }
+    for (both, down) in [(true, false), (false, true), (true, true)] {
+        let at = FreezeAt {
+            node: "n-a".into(),
+            request: "POST /multi",
+            answered: true,
+        };
+        stands_still(at, 16.0, both, down).await;
+    }
+}
