--- /dev/null
+++ b/crates/tallygauge-floor/src/book.rs
@@ -0,0 +1,279 @@
+//! What is over, by class of jobs and by team.
+
+use crate::ring::{BUCKETS, Ring};
+use serde::{Deserialize, Serialize};
+use std::{collections::HashMap, sync::Arc};
+
+/// What jobs are told apart by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// Class of jobs.
+    Class,
+    /// Team.
+    Team,
+}
+
+/// A class or a team.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key {
+    /// Which of them.
+    pub kind: Kind,
+    /// Its name.
+    pub name: Arc<str>,
+}
+
+/// How a job came to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// All its tasks are done; `late` when that was after its loosest aim.
+    Done {
+        /// After its loosest aim.
+        late: bool,
+    },
+    /// Its user gave it up; `started` when a task of it had run.
+    Cancelled {
+        /// A task of it had run.
+        started: bool,
+    },
+}
+
+/// Jobs of a class or of a team that are over.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Done.
+    pub done: u64,
+    /// Done, after their loosest aim.
+    pub late: u64,
+    /// Cancelled.
+    pub cancelled: u64,
+    /// Cancelled, with tasks that had run.
+    pub stopped: u64,
+    day: Ring,
+    recent: Ring,
+}
+
+/// Seconds of the longer window.
+const DAY_S: f64 = 86_400.0;
+
+/// Most classes that are told apart; jobs of further ones are counted together.
+const MOST_CLASSES: usize = 200;
+
+/// Name under which classes beyond the most are counted.
+const OTHERS: &str = "(others)";
+
+/// The record's format.
+const VERSION: u32 = 1;
+
+/// What is kept of a book, small and bounded. Lost, counting begins anew.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Format.
+    #[serde(rename = "v")]
+    pub version: u32,
+    /// Classes.
+    #[serde(rename = "c")]
+    classes: Vec<Kept>,
+    /// Teams.
+    #[serde(rename = "t")]
+    teams: Vec<Kept>,
+}
+
+/// Name; done, late, cancelled, stopped; by day, of late.
+type Kept = (String, [u64; 4], Ring, Ring);
+
+/// Bytes of a kept tally, at most: numbers of up to ten digits.
+fn bytes(kept: &Kept) -> usize {
+    // A name is written with escapes: at worst six bytes for one.
+    kept.0.len() * 6 + 64 + 2 * (BUCKETS * 26 + 2)
+}
+
+/// Counts by class and by team. Places of classes and teams never change.
+#[derive(Debug, Clone)]
+pub struct Book {
+    keys: Vec<Key>,
+    tallies: Vec<Tally>,
+    places: HashMap<Key, usize>,
+    classes: usize,
+    recent_s: f64,
+}
+
+impl Book {
+    /// An empty book whose shorter window has `recent_s` seconds.
+    #[must_use]
+    pub fn new(recent_s: f64) -> Self {
+        Self {
+            keys: Vec::new(),
+            tallies: Vec::new(),
+            places: HashMap::new(),
+            classes: 0,
+            recent_s: recent_s.clamp(1.0, DAY_S),
+        }
+    }
+
+    /// The place of a class or team, made if it is new.
+    pub fn place(&mut self, kind: Kind, name: &str) -> usize {
+        let mut key = Key {
+            kind,
+            name: name.into(),
+        };
+        if let Some(place) = self.places.get(&key) {
+            return *place;
+        }
+        if kind == Kind::Class && name != OTHERS {
+            if self.classes >= MOST_CLASSES {
+                key.name = OTHERS.into();
+                if let Some(place) = self.places.get(&key) {
+                    return *place;
+                }
+            } else {
+                self.classes += 1;
+            }
+        }
+        self.keys.push(key.clone());
+        self.tallies.push(Tally::default());
+        self.places.insert(key, self.keys.len() - 1);
+        self.keys.len() - 1
+    }
+
+    /// All classes and teams, by place.
+    #[must_use]
+    pub fn keys(&self) -> &[Key] {
+        &self.keys
+    }
+
+    /// What is over of the class or team at a place.
+    #[must_use]
+    pub fn tally(&self, place: usize) -> &Tally {
+        &self.tallies[place]
+    }
+
+    /// Seconds of the windows, longer first.
+    #[must_use]
+    pub fn spans(&self) -> [f64; 2] {
+        [DAY_S, self.recent_s]
+    }
+
+    /// Jobs done within each window before a time of day, longer first.
+    #[must_use]
+    pub fn served(&self, place: usize, at: f64) -> [u32; 2] {
+        let tally = &self.tallies[place];
+        [
+            tally.day.sum(at, DAY_S),
+            tally.recent.sum(at, self.recent_s),
+        ]
+    }
+
+    /// A job with these places is over, at a time of day.
+    pub fn over(&mut self, places: [usize; 2], end: End, at: f64) {
+        for place in places {
+            let tally = &mut self.tallies[place];
+            match end {
+                End::Done { late } => {
+                    tally.done += 1;
+                    tally.late += u64::from(late);
+                    tally.day.add(at, DAY_S);
+                    tally.recent.add(at, self.recent_s);
+                }
+                End::Cancelled { started } => {
+                    tally.cancelled += 1;
+                    tally.stopped += u64::from(started);
+                }
+            }
+        }
+    }
+
+    /// What is to be kept, at most so many bytes as JSON: those with the most
+    /// jobs first.
+    #[must_use]
+    pub fn record(&self, most_bytes: usize) -> Record {
+        let mut order: Vec<usize> = (0..self.keys.len()).collect();
+        let weight = |at: &usize| self.tallies[*at].done + self.tallies[*at].cancelled;
+        order.retain(|at| weight(at) > 0);
+        order.sort_by_key(|at| (std::cmp::Reverse(weight(at)), &self.keys[*at]));
+        let mut record = Record {
+            version: VERSION,
+            ..Record::default()
+        };
+        let mut left = most_bytes.saturating_sub(32);
+        for at in order {
+            let tally = &self.tallies[at];
+            let kept: Kept = (
+                self.keys[at].name.to_string(),
+                [tally.done, tally.late, tally.cancelled, tally.stopped],
+                tally.day.clone(),
+                tally.recent.clone(),
+            );
+            let Some(rest) = left.checked_sub(bytes(&kept)) else {
+                continue;
+            };
+            left = rest;
+            match self.keys[at].kind {
+                Kind::Class => record.classes.push(kept),
+                Kind::Team => record.teams.push(kept),
+            }
+        }
+        record
+    }
+
+    /// Takes up what an earlier leader kept, on top of what is counted already.
+    /// `false`: a format that this version doesn't know.
+    pub fn load(&mut self, record: Record) -> bool {
+        if record.version != VERSION {
+            return false;
+        }
+        let kinds = [(Kind::Class, record.classes), (Kind::Team, record.teams)];
+        for (kind, kept) in kinds {
+            for (name, [done, late, cancelled, stopped], day, recent) in kept {
+                let place = self.place(kind, &name);
+                let tally = &mut self.tallies[place];
+                tally.done += done;
+                tally.late += late;
+                tally.cancelled += cancelled;
+                tally.stopped += stopped;
+                (tally.day, tally.recent) = (day, recent);
+            }
+        }
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_kept_comes_back_and_fits() {
+        let mut book = Book::new(100.0);
+        for n in 0..600u32 {
+            // A hostile name is all escapes.
+            let class = format!("\u{1}\u{2}class-{}", n % 300);
+            let places = [
+                book.place(Kind::Class, &class),
+                book.place(Kind::Team, &format!("team-{}", n % 40)),
+            ];
+            let end = match n % 5 {
+                0 => End::Cancelled {
+                    started: n % 2 == 0,
+                },
+                _ => End::Done { late: n % 3 == 0 },
+            };
+            book.over(places, end, 1e9 + f64::from(n));
+        }
+        assert!(book.keys().len() <= MOST_CLASSES + 1 + 40);
+        let all = book.record(1 << 20);
+        let mut back = Book::new(100.0);
+        assert!(back.load(all.clone()));
+        assert!(back.record(1 << 20) == all);
+        let others = back.place(Kind::Class, OTHERS);
+        assert_eq!(
+            back.tally(others).done,
+            160,
+            "two rounds of a hundred classes"
+        );
+        for limit in [100, 2_000, 7_000, 30_000] {
+            let text = serde_json::to_string(&book.record(limit)).unwrap();
+            assert!(text.len() <= limit, "{} of {limit} bytes", text.len());
+        }
+        assert!(!back.load(Record::default()), "an unknown format");
+    }
+}
--- /dev/null
+++ b/crates/tallygauge-floor/src/lib.rs
@@ -0,0 +1,14 @@
+//! The floor: no class of jobs and no team is served by less than a set part.
+//!
+//! Pure: no clock, no input or output. [`Book`] counts what is over, by class
+//! and by team; [`elect`] compares that with what is open and names the jobs
+//! that should come first where a class or a team has fallen behind. Below
+//! overload it names none. `docs/floor.md` says why it is so.
+
+mod book;
+mod elect;
+mod ring;
+
+pub use book::{Book, End, Key, Kind, Record, Tally};
+pub use elect::{Candidate, Demand, Election, Level, Seat, elect};
+pub use ring::{BUCKETS, Ring};
--- a/crates/tallygauge-sched/examples/scale.rs
+++ b/crates/tallygauge-sched/examples/scale.rs
@@ -6,7 +6,7 @@
     collections::{BTreeMap, HashMap},
     time::Instant,
 };
-use tallygauge_sched::{Batch, Cluster, Config, RangeSet, Source, TeamConfig};
+use tallygauge_sched::{Batch, Cluster, Config, FloorConfig, RangeSet, Source, TeamConfig};
 use tallygauge_wire::{
     cloud::MachineType,
     users::{JobSpec, Priority, Shape},
@@ -35,6 +35,11 @@
         idle_boots: 1.5,
         horizon_boots: 1.0,
         class_due_s: HashMap::new(),
+        aims: HashMap::new(),
+        floor: FloorConfig {
+            share: 0.65,
+            part: 0.5,
+        },
         tasks_per_worker: 400,
         most_direct: 150,
         term: 1,
--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -1,8 +1,8 @@
 //! The leader's picture of jobs, workers and teams.
 
 use crate::{
-    drains::Drain, model::*, pages::Pages, placements::before_first, ranges::RangeSet,
-    surplus::Rises,
+    drains::Drain, floor::Floor, model::*, pages::Pages, placements::before_first,
+    ranges::RangeSet, surplus::Rises,
 };
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -76,6 +76,7 @@
     /// Machines that went, and when: an old list may still show them.
     pub(crate) departed: BTreeMap<String, f64>,
     pub(crate) drains: Vec<Drain>,
+    pub(crate) floor: Floor,
 }
 
 impl Cluster {
@@ -85,6 +86,7 @@
     pub fn new(cfg: Config, now: f64, chunk: u32, page: usize) -> Self {
         let ledgers = vec![Ledger::default(); cfg.teams.len()];
         let next_attempt = before_first(cfg.term);
+        let floor = Floor::new(&cfg);
         Self {
             cfg,
             term_at: now,
@@ -110,6 +112,7 @@
             changed: true,
             departed: BTreeMap::new(),
             drains: Vec::new(),
+            floor,
         }
     }
 
@@ -140,6 +143,7 @@
         let Some(team) = self.cfg.team(&spec.team) else {
             return;
         };
+        let places = self.places(&spec.class, &spec.team);
         let mut waiting = RangeSet::first(spec.tasks);
         let mut finished = RangeSet::default();
         finished.extend(done, spec.tasks);
@@ -150,6 +154,8 @@
             version,
             accepted_at,
             team,
+            places,
+            started: !finished.is_empty(),
             finished,
             dirty: BTreeSet::new(),
             waiting,
@@ -174,6 +180,7 @@
         let Some(job) = self.jobs.remove(id) else {
             return false;
         };
+        self.count_over(&job, now);
         self.dirty_jobs.remove(id);
         self.pages.forget(id, job.spec.tasks.div_ceil(self.chunk));
         for name in job.on.keys() {
--- a/crates/tallygauge-sched/src/demand.rs
+++ b/crates/tallygauge-sched/src/demand.rs
@@ -58,15 +58,6 @@
     stuck: Vec<(&'a Job, u32)>,
 }
 
-/// How many times `need` goes into what there is.
-pub(crate) fn fit(have: f64, need: f64) -> u32 {
-    if need > 0.0 {
-        ((have + EPS) / need).max(0.0) as u32
-    } else {
-        u32::MAX
-    }
-}
-
 impl Cluster {
     /// The cloud had fewer machines of a kind than were asked for: it is not
     /// asked again for a while, growing with each refusal.
--- /dev/null
+++ b/crates/tallygauge-sched/src/floor.rs
@@ -0,0 +1,318 @@
+//! The floor under what each class of jobs and each team gets: who has fallen
+//! behind, which jobs come first for it, and which machines are set aside so
+//! that their tasks find a room of the right size.
+
+use crate::{cluster::Cluster, model::*};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use tallygauge_floor::{Book, Candidate, Demand, End, Key, Kind, Level, Record, Tally, elect};
+use tallygauge_wire::users::Shape;
+
+/// Patience, in boot and run times, with a job whose class has no aim and that
+/// has no deadline.
+const PATIENCE_RUNS: f64 = 4.0;
+
+/// Length of the shorter window, in patience of the class that has most of it.
+const RECENT_PATIENCES: f64 = 4.0;
+
+/// A job that comes first: on behalf of which class or team, and which of its
+/// jobs it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Seat {
+    pub(crate) place: usize,
+    pub(crate) order: u32,
+}
+
+/// The floor's part of the picture.
+pub(crate) struct Floor {
+    pub(crate) book: Book,
+    /// Time of day less the steady clock.
+    pub(crate) day: f64,
+    /// Jobs that come first, by id.
+    pub(crate) seats: HashMap<String, Seat>,
+    /// Machines set aside, and the least task that may start there.
+    pub(crate) aside: BTreeMap<String, f64>,
+    demands: Vec<Demand>,
+}
+
+impl Floor {
+    pub(crate) fn new(cfg: &Config) -> Self {
+        let longest = cfg.aims.values().filter_map(|a| a.within_s);
+        let longest = longest.fold(cfg.lease_s, f64::max);
+        Self {
+            book: Book::new(longest * RECENT_PATIENCES),
+            day: 0.0,
+            seats: HashMap::new(),
+            aside: BTreeMap::new(),
+            demands: Vec::new(),
+        }
+    }
+}
+
+/// How a class of jobs or a team is served.
+#[derive(Debug, Clone)]
+pub struct Standing<'a> {
+    /// Which.
+    pub key: &'a Key,
+    /// What is over of it.
+    pub tally: &'a Tally,
+    /// Open jobs, and how many of them have started.
+    pub open: u32,
+    /// Open jobs of which a task has run.
+    pub started: u32,
+    /// What it is short of.
+    pub demand: Demand,
+}
+
+impl Cluster {
+    /// The time of day now, so that counts fit those of other leaders.
+    pub fn set_time_of_day(&mut self, now: f64, time_of_day: f64) {
+        self.floor.day = time_of_day - now;
+    }
+
+    /// Takes up what an earlier leader kept of the floor's counts. `false`: a
+    /// format that this version doesn't know.
+    pub fn load_floor(&mut self, record: Record) -> bool {
+        self.floor.book.load(record)
+    }
+
+    /// What is to be kept of the floor's counts, at most so many bytes.
+    #[must_use]
+    pub fn floor_record(&self, most_bytes: usize) -> Record {
+        self.floor.book.record(most_bytes)
+    }
+
+    /// Places of a job's class and team in the book.
+    pub(crate) fn places(&mut self, class: &str, team: &str) -> [usize; 2] {
+        let book = &mut self.floor.book;
+        [book.place(Kind::Class, class), book.place(Kind::Team, team)]
+    }
+
+    /// A job is over, as its tasks tell.
+    pub(crate) fn count_over(&mut self, job: &Job, now: f64) {
+        let end = if job.complete() {
+            let late = now - job.accepted_at > self.patience_s(job);
+            End::Done { late }
+        } else {
+            End::Cancelled {
+                started: job.started,
+            }
+        };
+        let at = now + self.floor.day;
+        self.floor.book.over(job.places, end, at);
+        self.floor.seats.remove(&job.spec.id);
+    }
+
+    /// How long after its submission a job is still served in time: its loosest
+    /// aim.
+    pub(crate) fn patience_s(&self, job: &Job) -> f64 {
+        let aim = self.cfg.aims.get(&job.spec.class);
+        let times = aim.and_then(|a| a.times).unwrap_or(1.0);
+        let due = job.spec.deadline_s.map(|d| d * times);
+        let within = aim.and_then(|a| a.within_s);
+        due.into_iter()
+            .chain(within)
+            .reduce(f64::max)
+            .unwrap_or_else(|| {
+                let boot_s = self.types.values().map(|t| t.boot_s).fold(0.0, f64::max);
+                (boot_s + job.spec.expected_s.max(self.cfg.floor_s)) * PATIENCE_RUNS
+            })
+    }
+
+    fn candidate(&self, job: &Job, kinds: &BTreeSet<(&str, &str, bool)>, now: f64) -> Candidate {
+        let run = self.remaining(job, 0.0);
+        let resumes = job.resumes.values();
+        let resumes: f64 = resumes.map(|r| self.remaining(job, r.saved_s)).sum();
+        // Of those on a machine about half is done.
+        let held = f64::from(u32::try_from(job.holds.len()).unwrap_or(u32::MAX)) * run * 0.5;
+        let left = f64::from(job.waiting.len()) * run + resumes + held;
+        let waits = !job.waiting.is_empty() || !job.resumes.is_empty();
+        let age = now - job.accepted_at;
+        let more = if waits { run } else { 0.0 };
+        let over = age + more - self.patience_s(job);
+        let none = BTreeMap::new();
+        let fits = kinds.iter().any(|(machine_type, zone, spot)| {
+            job.allows(machine_type, zone, *spot, &none)
+                && self
+                    .types
+                    .get(*machine_type)
+                    .is_some_and(|t| Room::of_type(t).holds(&job.spec))
+        });
+        Candidate {
+            places: job.places,
+            work: left * job.spec.cpus,
+            overdue_s: (over > 0.0).then_some(over),
+            fits,
+            served: job.spec.shape == Shape::Service && !waits,
+        }
+    }
+
+    /// Elects the jobs that come first, for classes and teams that are behind,
+    /// and sets machines aside for them. To be called about four times a report
+    /// interval.
+    pub fn elect(&mut self, now: f64) {
+        if self.cfg.floor.share <= 0.0 {
+            return;
+        }
+        let mut kinds: BTreeSet<(&str, &str, bool)> = BTreeSet::new();
+        for w in self.workers.values().filter(|w| w.usable(now, &self.cfg)) {
+            kinds.insert((&w.machine_type, &w.zone, w.spot));
+        }
+        for t in self.types.values() {
+            for zone in &t.zones {
+                for spot in [true, false] {
+                    let kind = (t.name.clone(), zone.clone(), spot);
+                    if !self.blocked.contains_key(&kind) && !self.kind_is_drained(&t.name, zone) {
+                        kinds.insert((&t.name, zone, spot));
+                    }
+                }
+            }
+        }
+        let jobs: Vec<&Job> = self.jobs.values().collect();
+        let candidates: Vec<Candidate> = jobs
+            .iter()
+            .map(|j| self.candidate(j, &kinds, now))
+            .collect();
+        let level = Level {
+            share: self.cfg.floor.share,
+        };
+        let at = now + self.floor.day;
+        let election = elect(&self.floor.book, &candidates, level, at);
+        let mut orders = vec![0u32; election.demands.len()];
+        let mut seats = HashMap::new();
+        for seat in &election.seats {
+            let order = &mut orders[seat.place];
+            *order += 1;
+            let id = jobs[seat.candidate].spec.id.clone();
+            let place = seat.place;
+            seats.insert(
+                id,
+                Seat {
+                    place,
+                    order: *order,
+                },
+            );
+        }
+        let elected: Vec<&Job> = election.seats.iter().map(|s| jobs[s.candidate]).collect();
+        let aside = self.set_aside(&elected, &seats, now);
+        let binds = seats.is_empty() != self.floor.seats.is_empty();
+        if binds {
+            let text = if seats.is_empty() {
+                "the floor binds no more".to_string()
+            } else {
+                format!("the floor binds: {} jobs come first", seats.len())
+            };
+            self.events.push((true, text));
+        }
+        self.floor.demands = election.demands;
+        self.floor.seats = seats;
+        self.floor.aside = aside;
+    }
+
+    /// Machines for the tasks of elected jobs that are larger than others which
+    /// wait: among those, freed rooms would never grow to their size. Each class
+    /// or team has an equal part, as much as it can use.
+    fn set_aside(
+        &self,
+        elected: &[&Job],
+        seats: &HashMap<String, Seat>,
+        now: f64,
+    ) -> BTreeMap<String, f64> {
+        let mut aside = BTreeMap::new();
+        let waits = |j: &&Job| !j.waiting.is_empty() || !j.resumes.is_empty();
+        let smallest = self.jobs.values().filter(|j| waits(j));
+        let smallest = smallest.map(|j| j.spec.cpus).fold(f64::MAX, f64::min);
+        let large: Vec<&&Job> = elected
+            .iter()
+            .filter(|j| waits(j) && j.spec.cpus > smallest + EPS)
+            .collect();
+        if large.is_empty() {
+            return aside;
+        }
+        let usable = || self.workers.values().filter(|w| w.usable(now, &self.cfg));
+        let size = |w: &Worker| self.types.get(&w.machine_type).map_or(0.0, |t| t.cpus);
+        let room = usable().map(size).sum::<f64>() * self.cfg.floor.part;
+        let places: BTreeSet<usize> = seats.values().map(|s| s.place).collect();
+        let mut budgets: HashMap<usize, f64> = places
+            .iter()
+            .map(|p| (*p, room / places.len() as f64))
+            .collect();
+        // Those first that need least time to fall free of other work, and of
+        // these the ones that are aside already.
+        let mut machines: Vec<(f64, &Worker)> = usable()
+            .map(|w| {
+                let others = w
+                    .held
+                    .iter()
+                    .filter(|h| h.occupies() && !seats.contains_key(&h.spec.id));
+                let busy: f64 = others
+                    .map(|h| h.spec.cpus * self.remaining_running(h, now))
+                    .sum();
+                let keep = if self.floor.aside.contains_key(&w.name) {
+                    0.5
+                } else {
+                    1.0
+                };
+                (busy * keep / size(w).max(1.0), w)
+            })
+            .collect();
+        machines.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.name.cmp(&b.1.name)));
+        for job in large {
+            let Some(budget) = budgets.get_mut(&seats[&job.spec.id].place) else {
+                continue;
+            };
+            let tasks = job.waiting.len() as usize + job.resumes.len() + job.holds.len();
+            let mut tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
+            let least = job.spec.cpus;
+            for (_, w) in &machines {
+                if tasks == 0 || *budget < least {
+                    break;
+                }
+                if aside.contains_key(&w.name)
+                    || !job.allows(&w.machine_type, &w.zone, w.spot, &job.zones)
+                {
+                    continue;
+                }
+                let Some(t) = self.types.get(&w.machine_type) else {
+                    continue;
+                };
+                let count = fit(t.cpus, job.spec.cpus)
+                    .min(fit(t.gpus, job.spec.gpus))
+                    .min(fit(t.memory_gb, job.spec.memory_gb));
+                if count == 0 {
+                    continue;
+                }
+                tasks = tasks.saturating_sub(count);
+                *budget -= t.cpus;
+                aside.insert(w.name.clone(), least * 0.5);
+            }
+        }
+        aside
+    }
+
+    /// How each class and each team is served.
+    #[must_use]
+    pub fn standings(&self) -> Vec<Standing<'_>> {
+        let book = &self.floor.book;
+        let mut open = vec![(0u32, 0u32); book.keys().len()];
+        for job in self.jobs.values() {
+            for place in job.places {
+                open[place].0 += 1;
+                open[place].1 += u32::from(job.started);
+            }
+        }
+        let mut out: Vec<Standing> = book
+            .keys()
+            .iter()
+            .enumerate()
+            .map(|(place, key)| Standing {
+                key,
+                tally: book.tally(place),
+                open: open[place].0,
+                started: open[place].1,
+                demand: self.floor.demands.get(place).copied().unwrap_or_default(),
+            })
+            .collect();
+        out.sort_by(|a, b| a.key.cmp(b.key));
+        out
+    }
+}
--- /dev/null
+++ b/crates/tallygauge-sched/src/mapping/rank.rs
@@ -0,0 +1,81 @@
+//! What comes first.
+
+use std::cmp::Ordering;
+
+/// A turn of a job that comes first for a class or team that is behind: the
+/// fewer CPUs are used on its behalf the sooner, then by the order of its jobs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Turn {
+    pub(crate) used: f64,
+    pub(crate) order: u32,
+}
+
+impl Eq for Turn {}
+
+impl PartialOrd for Turn {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Turn {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let used = other.used.total_cmp(&self.used);
+        used.then(other.order.cmp(&self.order))
+    }
+}
+
+/// What comes first: jobs that the floor puts first, then work within its
+/// guarantee, then UPT, then age.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Rank {
+    pub(crate) turn: Option<Turn>,
+    pub(crate) within: bool,
+    pub(crate) upt: f64,
+    pub(crate) accepted_at: f64,
+}
+
+impl Eq for Rank {}
+
+impl PartialOrd for Rank {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Rank {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.turn
+            .cmp(&other.turn)
+            .then(self.within.cmp(&other.within))
+            .then(self.upt.total_cmp(&other.upt))
+            .then(other.accepted_at.total_cmp(&self.accepted_at))
+    }
+}
+
+/// A number that orders slots, least first in a heap, with where it leads.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Entry {
+    pub(super) cost: f64,
+    pub(super) slot: usize,
+    /// The slot's count of changes when this was worked out.
+    pub(super) version: u32,
+}
+
+impl Eq for Entry {}
+
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other
+            .cost
+            .total_cmp(&self.cost)
+            .then(other.slot.cmp(&self.slot))
+            .then(other.version.cmp(&self.version))
+    }
+}
--- /dev/null
+++ b/crates/tallygauge-sched/src/mapping/round.rs
@@ -0,0 +1,376 @@
+//! One round: the greatest UPT first, until nothing that waits fits.
+
+use super::{
+    Group,
+    rank::{Rank, Turn},
+    rooms::{Finder, Full},
+    victims::Victim,
+};
+use crate::{
+    cluster::{Cluster, Ledger},
+    floor::Seat,
+    model::*,
+};
+use std::{
+    borrow::Cow,
+    cmp::Ordering,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+};
+use tallygauge_wire::{cloud::MachineType, users::Priority};
+
+/// A start that a round decided on: job, task, progress, worker.
+pub(super) type PlannedStart = (String, u32, f64, String);
+/// A stop that a round decided on: worker, attempt, for which job.
+pub(super) type PlannedStop = (String, u64, String);
+
+/// A group that waits, and the place of its job among the round's.
+#[derive(Clone, Copy)]
+pub(super) struct Waiting<'a> {
+    pub(super) group: Group<'a>,
+    pub(super) at: usize,
+}
+
+/// A group with the UPT that its next task may reach.
+struct Candidate<'a> {
+    rank: Rank,
+    waiting: Waiting<'a>,
+}
+
+impl Candidate<'_> {
+    fn key(&self) -> (Rank, std::cmp::Reverse<(&str, u32)>) {
+        let group = &self.waiting.group;
+        let index = group.resume.map_or(u32::MAX, |r| r.index);
+        (
+            self.rank,
+            std::cmp::Reverse((group.job.spec.id.as_str(), index)),
+        )
+    }
+}
+
+impl PartialEq for Candidate<'_> {
+    fn eq(&self, other: &Self) -> bool {
+        self.key() == other.key()
+    }
+}
+
+impl Eq for Candidate<'_> {}
+
+impl PartialOrd for Candidate<'_> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Candidate<'_> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.key().cmp(&other.key())
+    }
+}
+
+/// A job with tasks that wait, and what the round keeps of it.
+pub(super) struct Entrant<'a> {
+    pub(super) job: &'a Job,
+    pub(super) within: bool,
+    /// On whose behalf it comes first, if it does.
+    pub(super) seat: Option<Seat>,
+    /// Run time of a whole task, as far as known.
+    whole_s: f64,
+    pub(super) finder: Option<Finder>,
+    /// Where its tasks are, if that matters and it has starts.
+    pub(super) zones: Option<BTreeMap<String, u32>>,
+    /// Tasks taken from its waiting ones.
+    pub(super) taken: usize,
+    /// Tasks placed with something of their own.
+    pub(super) resumed: usize,
+    /// Room was made for it, or can't be.
+    pub(super) asked: bool,
+}
+
+/// A usable worker during a round.
+pub(super) struct Slot<'a> {
+    pub(super) worker: &'a Worker,
+    pub(super) of_type: usize,
+    pub(super) room: Room,
+    /// The room there will be when all stops are confirmed.
+    pub(super) soon: Room,
+    pub(super) tasks: usize,
+    pub(super) images: Cow<'a, Images>,
+    pub(super) version: u32,
+    /// Set aside for jobs that come first, with tasks of at least so many CPUs.
+    pub(super) aside: Option<f64>,
+    /// What may be stopped, least UPT first.
+    pub(super) victims: Vec<Victim<'a>>,
+}
+
+struct Start<'a> {
+    group: Group<'a>,
+    index: u32,
+    slot: usize,
+}
+
+/// One round on the picture as it stands.
+pub(super) struct Round<'a> {
+    pub(super) c: &'a Cluster,
+    pub(super) now: f64,
+    pub(super) types: Vec<&'a MachineType>,
+    pub(super) largest: f64,
+    pub(super) contended: f64,
+    /// Jobs with tasks that wait.
+    pub(super) entrants: Vec<Entrant<'a>>,
+    /// Usable workers, by name.
+    pub(super) slots: Vec<Slot<'a>>,
+    /// Slots changed by this round, in order.
+    pub(super) log: Vec<usize>,
+    /// Amounts that no machine has room for any more.
+    pub(super) full: Vec<Full>,
+    pub(super) ledgers: Vec<Ledger>,
+    /// CPUs and GPUs that each team will have given up when its stops are
+    /// confirmed.
+    pub(super) leaving: Vec<Ledger>,
+    /// CPUs used for jobs that come first, by class or team.
+    used: Vec<f64>,
+    /// CPUs that more of them may use.
+    first_left: f64,
+    /// Slots on which room is being made.
+    pub(super) making: BTreeSet<usize>,
+    pub(super) victims_known: bool,
+    /// Least UPT of the victims of each priority and team.
+    pub(super) kinds_of_victims: BTreeMap<(Priority, usize), f64>,
+    starts: Vec<Start<'a>>,
+    pub(super) stops: Vec<(usize, u64, &'a str)>,
+}
+
+impl<'a> Round<'a> {
+    /// A round, and what waits in it. `groups` are in the order of their jobs.
+    pub(super) fn new(
+        c: &'a Cluster,
+        now: f64,
+        groups: Vec<Group<'a>>,
+    ) -> (Self, Vec<Waiting<'a>>) {
+        let mut types: Vec<&MachineType> = c.types.values().collect();
+        types.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut slots = Vec::with_capacity(c.workers.len());
+        let mut leaving = vec![Ledger::default(); c.cfg.teams.len()];
+        let mut making = BTreeSet::new();
+        for worker in c.workers.values().filter(|w| w.usable(now, &c.cfg)) {
+            let named = types.binary_search_by(|t| t.name.as_str().cmp(&worker.machine_type));
+            let Ok(of_type) = named else { continue };
+            let mut soon = worker.free;
+            let stopping = |h: &&Held| h.stop.is_some() && h.occupies();
+            for held in worker.held.iter().filter(stopping) {
+                soon.add(&held.spec, 1.0);
+                making.insert(slots.len());
+                if let Some(team) = c.cfg.team(&held.spec.team) {
+                    leaving[team].add(&held.spec, 1.0);
+                }
+            }
+            slots.push(Slot {
+                worker,
+                of_type,
+                room: worker.free,
+                soon,
+                tasks: worker.held.len(),
+                images: Cow::Borrowed(&worker.images),
+                version: 0,
+                aside: c.floor.aside.get(&worker.name).copied(),
+                victims: Vec::new(),
+            });
+        }
+        let mut used = vec![0.0; c.floor.book.keys().len()];
+        for (id, seat) in &c.floor.seats {
+            if let Some(job) = c.jobs.get(id) {
+                used[seat.place] += job.spec.cpus * job.holds.len() as f64;
+            }
+        }
+        let capacity: f64 = slots.iter().map(|s| types[s.of_type].cpus).sum();
+        let contended = c.contended(&groups);
+        let within = c.within_guarantee();
+        let mut entrants: Vec<Entrant> = Vec::new();
+        let mut waiting = Vec::with_capacity(groups.len());
+        for group in groups {
+            let job = group.job;
+            let same = entrants.last().is_some_and(|e| std::ptr::eq(e.job, job));
+            if !same {
+                entrants.push(Entrant {
+                    job,
+                    within: within.contains(job.spec.id.as_str()),
+                    seat: c.floor.seats.get(&job.spec.id).copied(),
+                    whole_s: c.whole(&job.spec),
+                    finder: None,
+                    zones: None,
+                    taken: 0,
+                    resumed: 0,
+                    asked: false,
+                });
+            }
+            let at = entrants.len() - 1;
+            waiting.push(Waiting { group, at });
+        }
+        let round = Self {
+            c,
+            now,
+            first_left: capacity * c.cfg.floor.part - used.iter().sum::<f64>(),
+            used,
+            largest: types.iter().map(|t| t.cpus).fold(1.0, f64::max),
+            contended,
+            types,
+            entrants,
+            slots,
+            log: Vec::new(),
+            full: Vec::new(),
+            ledgers: c.ledgers.clone(),
+            leaving,
+            making,
+            victims_known: false,
+            kinds_of_victims: BTreeMap::new(),
+            starts: Vec::new(),
+            stops: Vec::new(),
+        };
+        (round, waiting)
+    }
+
+    /// Remaining run time of a task of a job that begins with `saved_s`.
+    pub(super) fn remaining(&self, at: usize, saved_s: f64) -> f64 {
+        (self.entrants[at].whole_s - saved_s).max(self.c.cfg.floor_s)
+    }
+
+    /// The job's turn, if it comes first.
+    pub(super) fn turn(&self, at: usize) -> Option<Turn> {
+        let seat = self.entrants[at].seat?;
+        (self.first_left > 0.0).then(|| Turn {
+            used: self.used[seat.place],
+            order: seat.order,
+        })
+    }
+
+    /// UPT that a task of the group may reach at most.
+    pub(super) fn best_upt(&self, waiting: &Waiting) -> f64 {
+        let saved = waiting.group.resume.map_or(0.0, |r| r.saved_s);
+        let left = self.remaining(waiting.at, saved);
+        self.c.worth(waiting.group.job, self.now + left * 0.5) / left
+    }
+
+    fn best_possible(&self, waiting: &Waiting) -> Rank {
+        Rank {
+            turn: self.turn(waiting.at),
+            within: self.entrants[waiting.at].within,
+            upt: self.best_upt(waiting),
+            accepted_at: waiting.group.job.accepted_at,
+        }
+    }
+
+    /// How many more tasks of the job its team's limit allows.
+    fn headroom(&self, job: &Job) -> usize {
+        let (team, used) = (&self.c.cfg.teams[job.team], &self.ledgers[job.team]);
+        let cpus = fit(team.cpus_max - used.cpus, job.spec.cpus);
+        let gpus = fit(team.gpus_max - used.gpus, job.spec.gpus);
+        cpus.min(gpus) as usize
+    }
+
+    pub(super) fn run(&mut self, waiting: Vec<Waiting<'a>>, preempt: bool) {
+        let mut heap: BinaryHeap<Candidate> = waiting
+            .into_iter()
+            .map(|waiting| Candidate {
+                rank: self.best_possible(&waiting),
+                waiting,
+            })
+            .collect();
+        while let Some(mut top) = heap.pop() {
+            let at = top.waiting.at;
+            let job = top.waiting.group.job;
+            // Since it was ranked, others may have started on the same behalf.
+            let turn = self.turn(at);
+            if turn != top.rank.turn {
+                top.rank.turn = turn;
+                if heap.peek().is_some_and(|next| next.rank > top.rank) {
+                    heap.push(top);
+                    continue;
+                }
+            }
+            let headroom = self.headroom(job);
+            if headroom == 0 {
+                continue;
+            }
+            let Some((slot, upt)) = self.best_spot(&top.waiting) else {
+                if preempt {
+                    self.make_room(&top.waiting, headroom);
+                }
+                continue;
+            };
+            // A worker that must fetch the image first lowers the UPT: the
+            // group then waits for its new place in the order.
+            let there = Rank { upt, ..top.rank };
+            if upt + 1e-12 < top.rank.upt && heap.peek().is_some_and(|next| next.rank > there) {
+                top.rank = there;
+                heap.push(top);
+                continue;
+            }
+            self.start(&top.waiting, slot);
+            if top.waiting.group.resume.is_none() && self.unplaced(at) > 0 {
+                top.rank = self.best_possible(&top.waiting);
+                heap.push(top);
+            }
+        }
+    }
+
+    /// Waiting tasks of the job without anything of their own that this round
+    /// has not placed.
+    pub(super) fn unplaced(&self, at: usize) -> usize {
+        let entrant = &self.entrants[at];
+        entrant.job.waiting.len() as usize - entrant.taken
+    }
+
+    fn start(&mut self, waiting: &Waiting<'a>, slot: usize) {
+        let group = waiting.group;
+        let job = group.job;
+        let entrant = &mut self.entrants[waiting.at];
+        let index = match group.resume {
+            Some(resume) => {
+                entrant.resumed += 1;
+                resume.index
+            }
+            None => {
+                entrant.taken += 1;
+                let Some(index) = job.waiting.nth(entrant.taken as u32 - 1) else {
+                    return;
+                };
+                index
+            }
+        };
+        let s = &mut self.slots[slot];
+        s.room.add(&job.spec, -1.0);
+        s.soon.add(&job.spec, -1.0);
+        s.tasks += 1;
+        s.version += 1;
+        let t = self.types[s.of_type];
+        s.images.to_mut().want(&job.spec, t, self.now);
+        self.log.push(slot);
+        self.ledgers[job.team].add(&job.spec, 1.0);
+        if let Some(seat) = entrant.seat {
+            self.used[seat.place] += job.spec.cpus;
+            self.first_left -= job.spec.cpus;
+        }
+        if job.spec.one_zone || job.spec.spread {
+            let zones = entrant.zones.get_or_insert_with(|| job.zones.clone());
+            *zones.entry(s.worker.zone.clone()).or_default() += 1;
+        }
+        self.starts.push(Start { group, index, slot });
+    }
+
+    /// What was decided: starts in order, and stops.
+    pub(super) fn outcome(self) -> (Vec<PlannedStart>, Vec<PlannedStop>) {
+        let name = |slot: usize| self.slots[slot].worker.name.clone();
+        let starts = self.starts.iter().map(|s| {
+            let worker = self.slots[s.slot].worker;
+            let saved_s = s.group.saved_on(&worker.machine_type);
+            (
+                s.group.job.spec.id.clone(),
+                s.index,
+                saved_s,
+                worker.name.clone(),
+            )
+        });
+        let stops = self.stops.iter().map(|s| (name(s.0), s.1, s.2.to_string()));
+        (starts.collect(), stops.collect())
+    }
+}
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -56,6 +56,10 @@
     pub horizon_boots: f64,
     /// Time within which jobs of a class should be finished.
     pub class_due_s: HashMap<String, f64>,
+    /// The loosest aims of classes.
+    pub aims: HashMap<String, Aim>,
+    /// The floor.
+    pub floor: FloorConfig,
     /// Most tasks on one machine, so that its record fits the state service.
     pub tasks_per_worker: usize,
     /// Most direct messages under way at a time.
@@ -64,6 +68,24 @@
     pub term: u64,
 }
 
+/// The loosest aims of a class of jobs.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Aim {
+    /// Done within so many times the job's own deadline.
+    pub times: Option<f64>,
+    /// Done within this time.
+    pub within_s: Option<f64>,
+}
+
+/// The floor under what each class of jobs and each team gets.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FloorConfig {
+    /// Part of the jobs that are done or overdue which is to be done; 0: none.
+    pub share: f64,
+    /// Part of the machines that jobs which come first may use.
+    pub part: f64,
+}
+
 impl Config {
     /// An allowance for the jitter of timers and messages.
     #[must_use]
@@ -132,6 +154,15 @@
 /// Slack for sums of decimal amounts.
 pub(crate) const EPS: f64 = 1e-6;
 
+/// How many times `need` goes into what there is.
+pub(crate) fn fit(have: f64, need: f64) -> u32 {
+    if need > 0.0 {
+        ((have + EPS) / need).max(0.0) as u32
+    } else {
+        u32::MAX
+    }
+}
+
 pub(crate) fn fits(spec: &JobSpec, cpus: f64, gpus: f64, memory_gb: f64) -> bool {
     spec.cpus <= cpus + EPS && spec.gpus <= gpus + EPS && spec.memory_gb <= memory_gb + EPS
 }
@@ -333,6 +364,10 @@
     pub accepted_at: f64,
     /// Its team's place in the configuration.
     pub team: usize,
+    /// Places of its class and its team in the floor's book.
+    pub places: [usize; 2],
+    /// A task of it has run.
+    pub started: bool,
     /// Tasks that are done.
     pub finished: RangeSet,
     /// Chunks of `finished` that are not durable yet.
--- a/crates/tallygauge-sched/src/reports.rs
+++ b/crates/tallygauge-sched/src/reports.rs
@@ -221,6 +221,9 @@
                 // After a take-over the start is known from the placement.
                 held.running_since = Some(if held.inherited { held.placed_at } else { now });
                 let spec = held.spec.clone();
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.started = true;
+                }
                 worker.images.fetching.remove(&spec.image);
                 worker.images.touch(&spec.image, spec.image_gb, cache);
             }
--- a/crates/tallygauge-sched/src/tests/mod.rs
+++ b/crates/tallygauge-sched/src/tests/mod.rs
@@ -35,6 +35,11 @@
         idle_boots: 1.5,
         horizon_boots: 1.0,
         class_due_s: HashMap::new(),
+        aims: HashMap::new(),
+        floor: FloorConfig {
+            share: 0.65,
+            part: 0.5,
+        },
         tasks_per_worker: 50,
         most_direct: 100,
         term: TERM,
@@ -205,13 +210,13 @@
                     continue;
                 }
                 let time = c.time_on(&group, w, &w.images, now);
-                let size = if w.machine_type == "large" { 16.0 } else { 4.0 };
+                let of_type = &c.types[&w.machine_type];
                 let spared = if c.least_type(job) < contended {
                     contended
                 } else {
                     f64::MAX
                 };
-                let score = time + c.packing(w, size, room.cpus, largest, spared);
+                let score = time + c.packing(w, of_type, room.cpus, largest, spared);
                 if spot.as_ref().is_none_or(|s| score < s.0) {
                     spot = Some((score, c.worth(job, now + time * 0.5) / time, name.clone()));
                 }
--- a/crates/tallygauge-state/src/budget.rs
+++ b/crates/tallygauge-state/src/budget.rs
@@ -15,6 +15,8 @@
     Placement,
     /// Finished tasks and cleaning up.
     Progress,
+    /// What can be done without.
+    Upkeep,
 }
 
 impl Class {
@@ -25,6 +27,7 @@
             Class::Users => 0.1,
             Class::Placement => 0.25,
             Class::Progress => 0.4,
+            Class::Upkeep => 0.55,
         }
     }
 
@@ -33,7 +36,7 @@
         match self {
             Class::Leadership => Duration::ZERO,
             Class::Users => Duration::from_millis(800),
-            Class::Placement | Class::Progress => Duration::from_millis(1500),
+            Class::Placement | Class::Progress | Class::Upkeep => Duration::from_millis(1500),
         }
     }
 }
--- a/crates/tallygauge/src/control.rs
+++ b/crates/tallygauge/src/control.rs
@@ -1,6 +1,7 @@
 //! The control loop: rounds, durable placements, durable progress.
 
 use crate::{
+    floor,
     node::{Known, Node, TERM_KEY, batch_key, open_key, over_key, page_key},
     users::OverRecord,
     workers,
@@ -63,6 +64,7 @@
         let batches = node.with_cluster(|c| {
             if tick {
                 c.tick(now);
+                c.elect(now);
             }
             if sure {
                 let (placed, stopped) = c.plan(now, true);
@@ -150,6 +152,8 @@
             sockets_free,
             "summary"
         );
+        let (classes, teams) = floor::shown(c);
+        tracing::info!(classes, teams, "served");
     });
 }
 
--- a/crates/tallygauge/src/leader.rs
+++ b/crates/tallygauge/src/leader.rs
@@ -1,7 +1,7 @@
 //! Leadership: winning a term, keeping it, and loading the picture.
 
 use crate::{
-    cloud, control,
+    cloud, control, floor,
     node::{LEADER_KEY, Lead, Node, TERM_KEY},
     users::OpenRecord,
     workers,
@@ -264,7 +264,8 @@
     tokio::join!(
         watch_jobs(node, revision),
         control::run(node, guard.clone()),
-        control::finish(node, guard),
+        control::finish(node, guard.clone()),
+        floor::keep(node, guard),
         cloud::run(node, term),
     );
 }
@@ -283,7 +284,9 @@
     let class = Class::Leadership;
     let (open, revision) = node.state.list(class, "o/").await?;
     let (pages, _) = node.state.list(class, "f/").await?;
-    let (batches, _) = node.state.list(class, "p/").await?;
+    let batches = node.state.list(class, "p/");
+    let (batches, kept) = tokio::join!(batches, floor::read(node));
+    let (batches, _) = batches?;
     let now = node.now();
     let time_of_day = Node::time_of_day();
     let page_bytes = control::record_bytes(node);
@@ -291,6 +294,10 @@
     if let Some(types) = node.lock(&node.catalogue).clone() {
         cluster.set_types(&types);
     }
+    cluster.set_time_of_day(now, time_of_day);
+    if let Some(kept) = kept {
+        cluster.load_floor(kept);
+    }
     let mut done: HashMap<String, RangeSet> = HashMap::new();
     for row in pages {
         let Some(page) = row.key.strip_prefix("f/").and_then(|n| n.parse().ok()) else {
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cloud;
 pub mod control;
+pub mod floor;
 pub mod leader;
 pub mod node;
 pub mod peers;
--- a/crates/tallygauge/src/node.rs
+++ b/crates/tallygauge/src/node.rs
@@ -6,7 +6,7 @@
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
-use tallygauge_sched::{Cluster, Config};
+use tallygauge_sched::{Cluster, Config, FloorConfig};
 use tallygauge_state::{Budget, Client, http::Http};
 use tallygauge_wire::{cloud::MachineType, state::Guard, users::JobStatus};
 use tokio::{
@@ -404,6 +404,11 @@
                 .filter(|o| o.kind == "finished")
                 .filter_map(|o| Some((o.class.clone()?, o.within_s?)))
                 .collect(),
+            aims: self.settings.loosest_aims(),
+            floor: FloorConfig {
+                share: t.floor.share,
+                part: t.floor.part,
+            },
             // A report must fit a request's body.
             tasks_per_worker: tallygauge_wire::BODY_LIMIT / TASK_REPORT_BYTES,
             most_direct: self.most_direct(),
--- a/crates/tallygauge/src/settings.rs
+++ b/crates/tallygauge/src/settings.rs
@@ -1,8 +1,8 @@
 //! The platform's settings (JSON), checked field by field.
 
 use serde::Deserialize;
-use std::{net::SocketAddr, path::Path};
-use tallygauge_sched::TeamConfig;
+use std::{collections::HashMap, net::SocketAddr, path::Path};
+use tallygauge_sched::{Aim, TeamConfig};
 
 /// Settings as the platform hands them over.
 #[derive(Debug, Clone, Deserialize)]
@@ -90,6 +90,9 @@
     /// Within this time.
     #[serde(default)]
     pub within_s: Option<f64>,
+    /// Within so many times the job's own deadline.
+    #[serde(default)]
+    pub times: Option<f64>,
 }
 
 /// Workers' times, seconds.
@@ -224,6 +227,30 @@
         Ok(())
     }
 
+    /// The loosest aim of each class on being done.
+    #[must_use]
+    pub fn loosest_aims(&self) -> HashMap<String, Aim> {
+        let mut aims: HashMap<String, Aim> = HashMap::new();
+        for objective in &self.deployment.objectives {
+            let Some(class) = &objective.class else {
+                continue;
+            };
+            let loosest = |a: Option<f64>, b: Option<f64>| a.into_iter().chain(b).reduce(f64::max);
+            match objective.kind.as_str() {
+                "deadline" => {
+                    let aim = aims.entry(class.clone()).or_default();
+                    aim.times = loosest(aim.times, objective.times.or(Some(1.0)));
+                }
+                "finished" => {
+                    let aim = aims.entry(class.clone()).or_default();
+                    aim.within_s = loosest(aim.within_s, objective.within_s);
+                }
+                _ => {}
+            }
+        }
+        aims
+    }
+
     /// Teams as the scheduler takes them.
     #[must_use]
     pub fn teams(&self) -> Vec<TeamConfig> {
--- a/crates/tallygauge/src/tuning.rs
+++ b/crates/tallygauge/src/tuning.rs
@@ -21,6 +21,28 @@
     pub idle_wait: f64,
     /// Boot times that waiting work is spread over when machines are rented.
     pub rent_horizon: f64,
+    /// The floor under what each class and each team gets.
+    pub floor: Floor,
+}
+
+/// The floor under what each class of jobs and each team gets.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Floor {
+    /// Part of the jobs that are done or overdue which is to be done; 0: no
+    /// floor.
+    pub share: f64,
+    /// Part of the machines that jobs which come first may use.
+    pub part: f64,
+}
+
+impl Default for Floor {
+    fn default() -> Self {
+        Self {
+            share: 0.65,
+            part: 0.5,
+        }
+    }
 }
 
 /// Worth of each priority.
@@ -58,6 +80,7 @@
             late_worth: 0.1,
             idle_wait: 1.5,
             rent_horizon: 1.0,
+            floor: Floor::default(),
         }
     }
 }
@@ -98,6 +121,14 @@
         if !(0.0..=1.0).contains(&tuning.late_worth) {
             return Err("late-worth must be 0 to 1".into());
         }
+        for (name, value) in [
+            ("floor/share", tuning.floor.share),
+            ("floor/part", tuning.floor.part),
+        ] {
+            if !(0.0..=1.0).contains(&value) {
+                return Err(format!("{name} must be 0 to 1, not {value}"));
+            }
+        }
         let w = &tuning.worth;
         if w.low > w.normal || w.normal > w.high || w.high > w.production {
             return Err("worth must not fall from low to production".into());
