--- a/crates/tallygauge-floor/src/elect.rs
+++ b/crates/tallygauge-floor/src/elect.rs
@@ -106,20 +106,17 @@
         order.sort_by(|a, b| jobs[*a].work.total_cmp(&jobs[*b].work).then(a.cmp(b)));
         let mut left: Vec<u32> = demands.iter().map(|d| d.need).collect();
         for candidate in order {
-            // On whose behalf: of the two, the one that is short of more.
             let [class, team] = jobs[candidate].places;
-            let place = if left[team] > left[class] {
-                team
-            } else {
-                class
-            };
-            if left[place] == 0 {
+            if left[class] == 0 && left[team] == 0 {
                 continue;
             }
             for place in [class, team] {
                 left[place] = left[place].saturating_sub(1);
             }
-            seats.push(Seat { candidate, place });
+            seats.push(Seat {
+                candidate,
+                place: class,
+            });
         }
     }
     Election { demands, seats }
--- a/crates/tallygauge-sched/examples/overload.rs
+++ b/crates/tallygauge-sched/examples/overload.rs
@@ -494,6 +494,27 @@
                 facts.done_at = Some(now);
             }
         }
+        if std::env::var("DBG").is_ok() && step.is_multiple_of(100) {
+            let mut used = BTreeMap::<&str, (f64, usize)>::new();
+            for m in &self.machines {
+                for t in &m.tasks {
+                    if t.report.state != TaskState::Ended {
+                        let f = &self.jobs[&t.job];
+                        let e = used.entry(CLASSES[f.class].name).or_default();
+                        e.0 += f.spec.cpus;
+                        e.1 += usize::from(t.report.state == TaskState::Fetching);
+                    }
+                }
+            }
+            let free: f64 = self.c.workers.values().map(|w| w.free.cpus).sum();
+            print!("{now:6.0} free {free:5.0} {used:?}");
+            for s in self.c.standings() {
+                if s.key.kind == tallygauge_sched::Kind::Class {
+                    print!(" | {} done {} open {} overdue {} need {}", s.key.name, s.tally.done, s.open, s.demand.overdue, s.demand.need);
+                }
+            }
+            println!(" aside {}", self.c.aside());
+        }
         if let Some(flush) = self.c.flush(24, 49_152).filter(|_| step.is_multiple_of(4)) {
             self.c.flushed(&flush, 1);
         }
--- a/crates/tallygauge-sched/src/floor.rs
+++ b/crates/tallygauge-sched/src/floor.rs
@@ -11,6 +11,9 @@
 /// has no deadline.
 const PATIENCE_RUNS: f64 = 4.0;
 
+/// Part of its patience after which a job that waits counts as overdue.
+const EARLY: f64 = 0.5;
+
 /// Length of the shorter window, in patience of the class that has most of it.
 const RECENT_PATIENCES: f64 = 4.0;
 
@@ -22,6 +25,15 @@
     pub(crate) order: u32,
 }
 
+/// What a machine is set aside for.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Aside {
+    /// The class whose jobs come first there.
+    pub(crate) place: usize,
+    /// CPUs of the least task that may start there.
+    pub(crate) least: f64,
+}
+
 /// The floor's part of the picture.
 pub(crate) struct Floor {
     pub(crate) book: Book,
@@ -29,8 +41,10 @@
     pub(crate) day: f64,
     /// Jobs that come first, by id.
     pub(crate) seats: HashMap<String, Seat>,
-    /// Machines set aside, and the least task that may start there.
-    pub(crate) aside: BTreeMap<String, f64>,
+    /// Machines set aside.
+    pub(crate) aside: BTreeMap<String, Aside>,
+    /// Part of the machines that jobs which come first may use.
+    pub(crate) part: f64,
     demands: Vec<Demand>,
 }
 
@@ -43,6 +57,7 @@
             day: 0.0,
             seats: HashMap::new(),
             aside: BTreeMap::new(),
+            part: 0.0,
             demands: Vec::new(),
         }
     }
@@ -128,7 +143,7 @@
         let waits = !job.waiting.is_empty() || !job.resumes.is_empty();
         let age = now - job.accepted_at;
         let more = if waits { run } else { 0.0 };
-        let over = age + more - self.patience_s(job);
+        let over = age + more - self.patience_s(job) * EARLY;
         let none = BTreeMap::new();
         let fits = kinds.iter().any(|(machine_type, zone, spot)| {
             job.allows(machine_type, zone, *spot, &none)
@@ -193,7 +208,15 @@
             );
         }
         let elected: Vec<&Job> = election.seats.iter().map(|s| jobs[s.candidate]).collect();
-        let aside = self.set_aside(&elected, &seats, now);
+        // Each class that is behind has an equal part, and so has all work of
+        // the others together.
+        let behind: BTreeSet<usize> = seats.values().map(|s: &Seat| s.place).collect();
+        let others = jobs.iter().any(|j| {
+            !behind.contains(&j.places[0]) && (!j.waiting.is_empty() || !j.resumes.is_empty())
+        });
+        let parties = behind.len() + usize::from(others);
+        let part = behind.len() as f64 / parties.max(1) as f64;
+        let aside = self.set_aside(&elected, &seats, part, now);
         let binds = seats.is_empty() != self.floor.seats.is_empty();
         if binds {
             let text = if seats.is_empty() {
@@ -206,89 +229,92 @@
         self.floor.demands = election.demands;
         self.floor.seats = seats;
         self.floor.aside = aside;
+        self.floor.part = part;
     }
 
     /// Machines for the tasks of elected jobs that are larger than others which
     /// wait: among those, freed rooms would never grow to their size. Each class
-    /// or team has an equal part, as much as it can use.
+    /// has an equal part, as much as it can use. A machine stays aside as long
+    /// as it is wanted, lest what has fallen free there is nibbled away again.
     fn set_aside(
         &self,
         elected: &[&Job],
         seats: &HashMap<String, Seat>,
+        part: f64,
         now: f64,
-    ) -> BTreeMap<String, f64> {
+    ) -> BTreeMap<String, Aside> {
         let mut aside = BTreeMap::new();
         let waits = |j: &&Job| !j.waiting.is_empty() || !j.resumes.is_empty();
         let smallest = self.jobs.values().filter(|j| waits(j));
         let smallest = smallest.map(|j| j.spec.cpus).fold(f64::MAX, f64::min);
-        let large: Vec<&&Job> = elected
-            .iter()
-            .filter(|j| waits(j) && j.spec.cpus > smallest + EPS)
-            .collect();
+        let mut large: BTreeMap<usize, Vec<&Job>> = BTreeMap::new();
+        for job in elected.iter().filter(|j| waits(j)) {
+            if job.spec.cpus > smallest + EPS {
+                let place = seats[&job.spec.id].place;
+                large.entry(place).or_default().push(job);
+            }
+        }
         if large.is_empty() {
             return aside;
         }
         let usable = || self.workers.values().filter(|w| w.usable(now, &self.cfg));
         let size = |w: &Worker| self.types.get(&w.machine_type).map_or(0.0, |t| t.cpus);
-        let room = usable().map(size).sum::<f64>() * self.cfg.floor.part;
+        let room = usable().map(size).sum::<f64>() * part;
         let places: BTreeSet<usize> = seats.values().map(|s| s.place).collect();
-        let mut budgets: HashMap<usize, f64> = places
-            .iter()
-            .map(|p| (*p, room / places.len() as f64))
-            .collect();
-        // Those first that need least time to fall free of other work, and of
-        // these the ones that are aside already.
-        let mut machines: Vec<(f64, &Worker)> = usable()
-            .map(|w| {
-                let others = w
-                    .held
-                    .iter()
-                    .filter(|h| h.occupies() && !seats.contains_key(&h.spec.id));
-                let busy: f64 = others
-                    .map(|h| h.spec.cpus * self.remaining_running(h, now))
-                    .sum();
-                let keep = if self.floor.aside.contains_key(&w.name) {
-                    0.5
-                } else {
-                    1.0
-                };
-                (busy * keep / size(w).max(1.0), w)
-            })
-            .collect();
+        let each = room / places.len() as f64;
+        // CPU time until other work has left a machine.
+        let busy = |w: &Worker| {
+            let others = w.held.iter().filter(|h| h.occupies());
+            others
+                .filter(|h| !seats.contains_key(&h.spec.id))
+                .map(|h| h.spec.cpus * self.remaining_running(h, now))
+                .sum::<f64>()
+        };
+        let mut machines: Vec<(f64, &Worker)> = usable().map(|w| (busy(w), w)).collect();
         machines.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.name.cmp(&b.1.name)));
-        for job in large {
-            let Some(budget) = budgets.get_mut(&seats[&job.spec.id].place) else {
-                continue;
-            };
-            let tasks = job.waiting.len() as usize + job.resumes.len() + job.holds.len();
-            let mut tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
-            let least = job.spec.cpus;
-            for (_, w) in &machines {
-                if tasks == 0 || *budget < least {
-                    break;
-                }
-                if aside.contains_key(&w.name)
-                    || !job.allows(&w.machine_type, &w.zone, w.spot, &job.zones)
-                {
-                    continue;
-                }
-                let Some(t) = self.types.get(&w.machine_type) else {
-                    continue;
-                };
-                let count = fit(t.cpus, job.spec.cpus)
-                    .min(fit(t.gpus, job.spec.gpus))
-                    .min(fit(t.memory_gb, job.spec.memory_gb));
-                if count == 0 {
-                    continue;
+        for (place, jobs) in large {
+            let least = jobs.iter().map(|j| j.spec.cpus).fold(f64::MAX, f64::min);
+            let was = |w: &Worker| self.floor.aside.get(&w.name).is_some_and(|a| a.place == place);
+            let kept = machines.iter().filter(|m| was(m.1));
+            let new = machines.iter().filter(|m| !was(m.1));
+            let order: Vec<&Worker> = kept.chain(new).map(|m| m.1).collect();
+            let mut budget = each;
+            for job in jobs {
+                let tasks = job.waiting.len() as usize + job.resumes.len() + job.holds.len();
+                let mut tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
+                for w in &order {
+                    if tasks == 0 || budget < least {
+                        break;
+                    }
+                    if aside.contains_key(&w.name)
+                        || !job.allows(&w.machine_type, &w.zone, w.spot, &job.zones)
+                    {
+                        continue;
+                    }
+                    let Some(t) = self.types.get(&w.machine_type) else {
+                        continue;
+                    };
+                    let count = fit(t.cpus, job.spec.cpus)
+                        .min(fit(t.gpus, job.spec.gpus))
+                        .min(fit(t.memory_gb, job.spec.memory_gb));
+                    if count == 0 {
+                        continue;
+                    }
+                    tasks = tasks.saturating_sub(count);
+                    budget -= t.cpus;
+                    aside.insert(w.name.clone(), Aside { place, least });
                 }
-                tasks = tasks.saturating_sub(count);
-                *budget -= t.cpus;
-                aside.insert(w.name.clone(), least * 0.5);
             }
         }
         aside
     }
 
+    /// Machines that are set aside.
+    #[must_use]
+    pub fn aside(&self) -> usize {
+        self.floor.aside.len()
+    }
+
     /// How each class and each team is served.
     #[must_use]
     pub fn standings(&self) -> Vec<Standing<'_>> {
--- a/crates/tallygauge-sched/src/mapping/rooms.rs
+++ b/crates/tallygauge-sched/src/mapping/rooms.rs
@@ -9,7 +9,7 @@
     rank::Entry,
     round::{Round, Waiting},
 };
-use crate::model::*;
+use crate::{floor::Aside, model::*};
 use std::collections::BinaryHeap;
 
 /// A job's spots, best first, by machine type.
@@ -42,7 +42,7 @@
         let s = &self.slots[slot];
         let entrant = &self.entrants[at];
         let job = entrant.job;
-        let kept = |least: f64| job.spec.cpus < least || self.turn(at).is_none();
+        let kept = |a: Aside| job.spec.cpus < a.least || entrant.seat.is_none();
         if s.aside.is_some_and(kept) {
             return false;
         }
--- a/crates/tallygauge-sched/src/mapping/round.rs
+++ b/crates/tallygauge-sched/src/mapping/round.rs
@@ -8,7 +8,7 @@
 };
 use crate::{
     cluster::{Cluster, Ledger},
-    floor::Seat,
+    floor::{Aside, Seat},
     model::*,
 };
 use std::{
@@ -96,8 +96,8 @@
     pub(super) tasks: usize,
     pub(super) images: Cow<'a, Images>,
     pub(super) version: u32,
-    /// Set aside for jobs that come first, with tasks of at least so many CPUs.
-    pub(super) aside: Option<f64>,
+    /// Set aside for jobs that come first.
+    pub(super) aside: Option<Aside>,
     /// What may be stopped, least UPT first.
     pub(super) victims: Vec<Victim<'a>>,
 }
@@ -129,7 +129,7 @@
     pub(super) leaving: Vec<Ledger>,
     /// CPUs used for jobs that come first, by class or team.
     used: Vec<f64>,
-    /// CPUs that more of them may use.
+    /// CPUs that more of them may use on machines that are not set aside.
     first_left: f64,
     /// Slots on which room is being made.
     pub(super) making: BTreeSet<usize>,
@@ -140,6 +140,22 @@
     pub(super) stops: Vec<(usize, u64, &'a str)>,
 }
 
+/// CPUs that jobs which come first may yet use on machines that are not set
+/// aside.
+fn first_left(c: &Cluster, slots: &[Slot], types: &[&MachineType]) -> f64 {
+    let size = |s: &Slot| types[s.of_type].cpus;
+    let all: f64 = slots.iter().map(size).sum();
+    let aside: f64 = slots.iter().filter(|s| s.aside.is_some()).map(size).sum();
+    let first = |h: &&Held| h.occupies() && c.floor.seats.contains_key(&h.spec.id);
+    let used: f64 = slots
+        .iter()
+        .filter(|s| s.aside.is_none())
+        .flat_map(|s| s.worker.held.iter().filter(first))
+        .map(|h| h.spec.cpus)
+        .sum();
+    all * c.floor.part - aside - used
+}
+
 impl<'a> Round<'a> {
     /// A round, and what waits in it. `groups` are in the order of their jobs.
     pub(super) fn new(
@@ -182,7 +198,11 @@
                 used[seat.place] += job.spec.cpus * job.holds.len() as f64;
             }
         }
-        let capacity: f64 = slots.iter().map(|s| types[s.of_type].cpus).sum();
+        let first_left = if c.floor.seats.is_empty() {
+            0.0
+        } else {
+            first_left(c, &slots, &types)
+        };
         let contended = c.contended(&groups);
         let within = c.within_guarantee();
         let mut entrants: Vec<Entrant> = Vec::new();
@@ -209,7 +229,7 @@
         let round = Self {
             c,
             now,
-            first_left: capacity * c.cfg.floor.part - used.iter().sum::<f64>(),
+            first_left,
             used,
             largest: types.iter().map(|t| t.cpus).fold(1.0, f64::max),
             contended,
@@ -348,7 +368,9 @@
         self.ledgers[job.team].add(&job.spec, 1.0);
         if let Some(seat) = entrant.seat {
             self.used[seat.place] += job.spec.cpus;
-            self.first_left -= job.spec.cpus;
+            if s.aside.is_none() {
+                self.first_left -= job.spec.cpus;
+            }
         }
         if job.spec.one_zone || job.spec.spread {
             let zones = entrant.zones.get_or_insert_with(|| job.zones.clone());
