Floor: least part before all, late jobs last; polls come last in the state budget

Besides, users' polls shared the state budget's class with submissions and cancellations, so that a flood of polls could hold these up, and comparisons that fail count as writes at the state service but not in our budget.

The floor knows a least part, below which nobody may fall, and whose jobs go before the others'; jobs that can't be in time any more come after those that can; a few overdue jobs don't tell. Polls are a class of their own, below all others; failed comparisons are counted as writes.

--- a/crates/tallygauge-sched/src/floor.rs
+++ b/crates/tallygauge-sched/src/floor.rs
@@ -12,16 +12,20 @@
 const PATIENCE_RUNS: f64 = 4.0;
 
 /// Part of its patience after which a job that waits counts as overdue.
-const EARLY: f64 = 0.5;
+const EARLY: f64 = 0.7;
 
 /// Length of the shorter window, in patience of the class that has most of it.
 const RECENT_PATIENCES: f64 = 4.0;
 
-/// A job that comes first: on behalf of which class or team, and which of its
-/// jobs it is.
+/// Part of the share aimed at that nobody may fall below.
+const LEAST: f64 = 0.85;
+
+/// A job that comes first: on behalf of which class, and which of its jobs it
+/// is. Those without which the least part is not reached go before others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Seat {
     pub(crate) place: usize,
+    pub(crate) least: bool,
     pub(crate) order: u32,
 }
 
@@ -133,6 +137,17 @@
             })
     }
 
+    /// CPUs that a team may count on.
+    fn fair_cpus(&self, team: usize) -> f64 {
+        let team = &self.cfg.teams[team];
+        let cpus = if team.cpus > 0.0 {
+            team.cpus
+        } else {
+            team.cpus_max
+        };
+        cpus.max(1.0)
+    }
+
     fn candidate(&self, job: &Job, kinds: &BTreeSet<(&str, &str, bool)>, now: f64) -> Candidate {
         let run = self.remaining(job, 0.0);
         let resumes = job.resumes.values();
@@ -143,7 +158,10 @@
         let waits = !job.waiting.is_empty() || !job.resumes.is_empty();
         let age = now - job.accepted_at;
         let more = if waits { run } else { 0.0 };
-        let over = age + more - self.patience_s(job) * EARLY;
+        let due = self.patience_s(job);
+        // A job that is large for its team takes longer than any aim.
+        let alone = job.spec.cpus * f64::from(job.spec.tasks) * run / self.fair_cpus(job.team);
+        let over = age + more - (due * EARLY).max(alone);
         let none = BTreeMap::new();
         let fits = kinds.iter().any(|(machine_type, zone, spot)| {
             job.allows(machine_type, zone, *spot, &none)
@@ -156,6 +174,8 @@
             places: job.places,
             work: left * job.spec.cpus,
             overdue_s: (over > 0.0).then_some(over),
+            late: age + more > due,
+            long: over > due,
             fits,
             served: job.spec.shape == Shape::Service && !waits,
         }
@@ -188,24 +208,20 @@
             .map(|j| self.candidate(j, &kinds, now))
             .collect();
         let level = Level {
+            least: self.cfg.floor.share * LEAST,
             share: self.cfg.floor.share,
         };
         let at = now + self.floor.day;
         let election = elect(&self.floor.book, &candidates, level, at);
-        let mut orders = vec![0u32; election.demands.len()];
         let mut seats = HashMap::new();
-        for seat in &election.seats {
-            let order = &mut orders[seat.place];
-            *order += 1;
-            let id = jobs[seat.candidate].spec.id.clone();
-            let place = seat.place;
-            seats.insert(
-                id,
-                Seat {
-                    place,
-                    order: *order,
-                },
-            );
+        for (order, seat) in (0..).zip(&election.seats) {
+            let job = jobs[seat.candidate];
+            let seat = Seat {
+                place: job.places[0],
+                least: seat.least,
+                order,
+            };
+            seats.insert(job.spec.id.clone(), seat);
         }
         let elected: Vec<&Job> = election.seats.iter().map(|s| jobs[s.candidate]).collect();
         // Each class that is behind has an equal part, and so has all work of
@@ -222,7 +238,23 @@
             let text = if seats.is_empty() {
                 "the floor binds no more".to_string()
             } else {
-                format!("the floor binds: {} jobs come first", seats.len())
+                let behind = election.demands.iter().enumerate().filter(|d| d.1.need > 0);
+                let names: Vec<String> = behind
+                    .map(|(p, d)| {
+                        format!(
+                            "{}:{}/{}/{}",
+                            self.floor.book.keys()[p].name,
+                            self.floor.book.served(p, at)[0],
+                            d.overdue,
+                            d.need
+                        )
+                    })
+                    .collect();
+                format!(
+                    "the floor binds: {} jobs come first: {}",
+                    seats.len(),
+                    names.join(" ")
+                )
             };
             self.events.push((true, text));
         }
@@ -274,7 +306,12 @@
         machines.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.name.cmp(&b.1.name)));
         for (place, jobs) in large {
             let least = jobs.iter().map(|j| j.spec.cpus).fold(f64::MAX, f64::min);
-            let was = |w: &Worker| self.floor.aside.get(&w.name).is_some_and(|a| a.place == place);
+            let was = |w: &Worker| {
+                self.floor
+                    .aside
+                    .get(&w.name)
+                    .is_some_and(|a| a.place == place)
+            };
             let kept = machines.iter().filter(|m| was(m.1));
             let new = machines.iter().filter(|m| !was(m.1));
             let order: Vec<&Worker> = kept.chain(new).map(|m| m.1).collect();
--- a/crates/tallygauge-sched/src/mapping/mod.rs
+++ b/crates/tallygauge-sched/src/mapping/mod.rs
@@ -235,4 +235,3 @@
             .map_or(0.0, |r| r.saved_s)
     }
 }
-
--- a/crates/tallygauge-sched/src/mapping/rank.rs
+++ b/crates/tallygauge-sched/src/mapping/rank.rs
@@ -2,34 +2,9 @@
 
 use std::cmp::Ordering;
 
-/// A turn of a job that comes first for a class or team that is behind: the
-/// fewer CPUs are used on its behalf the sooner, then by the order of its jobs.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct Turn {
-    pub(crate) used: f64,
-    pub(crate) order: u32,
-}
-
-impl Eq for Turn {}
-
-impl PartialOrd for Turn {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Turn {
-    fn cmp(&self, other: &Self) -> Ordering {
-        let used = other.used.total_cmp(&self.used);
-        used.then(other.order.cmp(&self.order))
-    }
-}
-
-/// What comes first: jobs that the floor puts first, then work within its
-/// guarantee, then UPT, then age.
+/// What comes first: work within its guarantee, then UPT, then age.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Rank {
-    pub(crate) turn: Option<Turn>,
     pub(crate) within: bool,
     pub(crate) upt: f64,
     pub(crate) accepted_at: f64,
@@ -45,9 +20,8 @@
 
 impl Ord for Rank {
     fn cmp(&self, other: &Self) -> Ordering {
-        self.turn
-            .cmp(&other.turn)
-            .then(self.within.cmp(&other.within))
+        self.within
+            .cmp(&other.within)
             .then(self.upt.total_cmp(&other.upt))
             .then(other.accepted_at.total_cmp(&self.accepted_at))
     }
--- a/crates/tallygauge-sched/src/mapping/rooms.rs
+++ b/crates/tallygauge-sched/src/mapping/rooms.rs
@@ -37,7 +37,29 @@
     }
 }
 
+/// The most that any machine has, or will have when what stops there is gone.
+pub(super) struct Outlook(Room);
+
+impl Outlook {
+    /// Whether a group may find a room, or have one made, at all. Rooms only
+    /// shrink within a round, and what may be stopped only gets less, so that
+    /// all others can be left out from the beginning.
+    pub(super) fn any(&self, round: &Round, waiting: &Waiting) -> bool {
+        self.0.holds(&waiting.group.job.spec) || round.any_stoppable(waiting)
+    }
+}
+
 impl<'a> Round<'a> {
+    pub(super) fn outlook(&self) -> Outlook {
+        let mut most = Room::default();
+        for s in &self.slots {
+            most.cpus = most.cpus.max(s.soon.cpus);
+            most.gpus = most.gpus.max(s.soon.gpus);
+            most.memory_gb = most.memory_gb.max(s.soon.memory_gb);
+        }
+        Outlook(most)
+    }
+
     pub(super) fn allowed(&self, at: usize, slot: usize) -> bool {
         let s = &self.slots[slot];
         let entrant = &self.entrants[at];
--- a/crates/tallygauge-sched/src/mapping/round.rs
+++ b/crates/tallygauge-sched/src/mapping/round.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Group,
-    rank::{Rank, Turn},
+    rank::Rank,
     rooms::{Finder, Full},
     victims::Victim,
 };
@@ -14,7 +14,7 @@
 use std::{
     borrow::Cow,
     cmp::Ordering,
-    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque},
 };
 use tallygauge_wire::{cloud::MachineType, users::Priority};
 
@@ -23,33 +23,25 @@
 /// A stop that a round decided on: worker, attempt, for which job.
 pub(super) type PlannedStop = (String, u64, String);
 
-/// A group that waits, and the place of its job among the round's.
+/// A group that waits, and the place of its job among the round's, which are in
+/// the order of their ids.
 #[derive(Clone, Copy)]
 pub(super) struct Waiting<'a> {
     pub(super) group: Group<'a>,
     pub(super) at: usize,
 }
 
-/// A group with the UPT that its next task may reach.
+/// A group with the UPT that its next task may reach. Of equals the first by id
+/// and number of the task comes first.
 struct Candidate<'a> {
     rank: Rank,
     waiting: Waiting<'a>,
-}
-
-impl Candidate<'_> {
-    fn key(&self) -> (Rank, std::cmp::Reverse<(&str, u32)>) {
-        let group = &self.waiting.group;
-        let index = group.resume.map_or(u32::MAX, |r| r.index);
-        (
-            self.rank,
-            std::cmp::Reverse((group.job.spec.id.as_str(), index)),
-        )
-    }
+    index: u32,
 }
 
 impl PartialEq for Candidate<'_> {
     fn eq(&self, other: &Self) -> bool {
-        self.key() == other.key()
+        self.cmp(other) == Ordering::Equal
     }
 }
 
@@ -63,7 +55,9 @@
 
 impl Ord for Candidate<'_> {
     fn cmp(&self, other: &Self) -> Ordering {
-        self.key().cmp(&other.key())
+        let rank = self.rank.cmp(&other.rank);
+        rank.then_with(|| other.waiting.at.cmp(&self.waiting.at))
+            .then_with(|| other.index.cmp(&self.index))
     }
 }
 
@@ -133,7 +127,6 @@
     first_left: f64,
     /// Slots on which room is being made.
     pub(super) making: BTreeSet<usize>,
-    pub(super) victims_known: bool,
     /// Least UPT of the victims of each priority and team.
     pub(super) kinds_of_victims: BTreeMap<(Priority, usize), f64>,
     starts: Vec<Start<'a>>,
@@ -241,7 +234,6 @@
             ledgers: c.ledgers.clone(),
             leaving,
             making,
-            victims_known: false,
             kinds_of_victims: BTreeMap::new(),
             starts: Vec::new(),
             stops: Vec::new(),
@@ -254,15 +246,6 @@
         (self.entrants[at].whole_s - saved_s).max(self.c.cfg.floor_s)
     }
 
-    /// The job's turn, if it comes first.
-    pub(super) fn turn(&self, at: usize) -> Option<Turn> {
-        let seat = self.entrants[at].seat?;
-        (self.first_left > 0.0).then(|| Turn {
-            used: self.used[seat.place],
-            order: seat.order,
-        })
-    }
-
     /// UPT that a task of the group may reach at most.
     pub(super) fn best_upt(&self, waiting: &Waiting) -> f64 {
         let saved = waiting.group.resume.map_or(0.0, |r| r.saved_s);
@@ -272,7 +255,6 @@
 
     fn best_possible(&self, waiting: &Waiting) -> Rank {
         Rank {
-            turn: self.turn(waiting.at),
             within: self.entrants[waiting.at].within,
             upt: self.best_upt(waiting),
             accepted_at: waiting.group.job.accepted_at,
@@ -287,27 +269,85 @@
         cpus.min(gpus) as usize
     }
 
+    /// Works the round out: jobs that the floor puts first, then all others.
     pub(super) fn run(&mut self, waiting: Vec<Waiting<'a>>, preempt: bool) {
+        if preempt {
+            self.find_victims();
+        }
+        let outlook = self.outlook();
+        let hopeful = waiting.into_iter().filter(|w| outlook.any(self, w));
+        let waiting: Vec<Waiting> = hopeful.collect();
+        let rest = self.run_first(waiting, preempt);
+        self.run_by_upt(rest, preempt);
+    }
+
+    /// Places tasks of jobs that come first, those before all that the least part
+    /// needs: of the class with the fewest CPUs used for such jobs the next, in
+    /// the order of its jobs, as long as there is room that they may use. Returns
+    /// what is left to the others' order.
+    fn run_first(&mut self, waiting: Vec<Waiting<'a>>, preempt: bool) -> Vec<Waiting<'a>> {
+        let mut queues: BTreeMap<(bool, usize), VecDeque<(u32, Waiting)>> = BTreeMap::new();
+        let mut rest = Vec::with_capacity(waiting.len());
+        for waiting in waiting {
+            match self.entrants[waiting.at].seat {
+                Some(seat) => {
+                    let queue = queues.entry((!seat.least, seat.place)).or_default();
+                    queue.push_back((seat.order, waiting));
+                }
+                None => rest.push(waiting),
+            }
+        }
+        for queue in queues.values_mut() {
+            // Of one job, what has least left to run goes first.
+            let best = |w: &Waiting| self.best_upt(w);
+            queue.make_contiguous().sort_by(|a, b| {
+                let upt = best(&b.1).total_cmp(&best(&a.1));
+                a.0.cmp(&b.0).then(upt)
+            });
+        }
+        while self.first_left > 0.0 {
+            let least = queues
+                .iter_mut()
+                .filter(|q| !q.1.is_empty())
+                .min_by(|a, b| {
+                    let used = self.used[a.0.1].total_cmp(&self.used[b.0.1]);
+                    a.0.0.cmp(&b.0.0).then(used)
+                });
+            let Some((_, queue)) = least else { break };
+            let Some((order, waiting)) = queue.pop_front() else {
+                break;
+            };
+            let headroom = self.headroom(waiting.group.job);
+            if headroom == 0 {
+                continue;
+            }
+            let Some((slot, _)) = self.best_spot(&waiting) else {
+                if preempt {
+                    self.make_room(&waiting, headroom);
+                }
+                continue;
+            };
+            self.start(&waiting, slot);
+            if waiting.group.resume.is_none() && self.unplaced(waiting.at) > 0 {
+                queue.push_front((order, waiting));
+            }
+        }
+        rest.extend(queues.into_values().flatten().map(|q| q.1));
+        rest
+    }
+
+    fn run_by_upt(&mut self, waiting: Vec<Waiting<'a>>, preempt: bool) {
         let mut heap: BinaryHeap<Candidate> = waiting
             .into_iter()
             .map(|waiting| Candidate {
                 rank: self.best_possible(&waiting),
+                index: waiting.group.resume.map_or(u32::MAX, |r| r.index),
                 waiting,
             })
             .collect();
         while let Some(mut top) = heap.pop() {
             let at = top.waiting.at;
-            let job = top.waiting.group.job;
-            // Since it was ranked, others may have started on the same behalf.
-            let turn = self.turn(at);
-            if turn != top.rank.turn {
-                top.rank.turn = turn;
-                if heap.peek().is_some_and(|next| next.rank > top.rank) {
-                    heap.push(top);
-                    continue;
-                }
-            }
-            let headroom = self.headroom(job);
+            let headroom = self.headroom(top.waiting.group.job);
             if headroom == 0 {
                 continue;
             }
--- a/crates/tallygauge-sched/src/mapping/victims.rs
+++ b/crates/tallygauge-sched/src/mapping/victims.rs
@@ -20,8 +20,7 @@
 impl<'a> Round<'a> {
     /// Everything that may be stopped at all: running tasks that save, and of
     /// these not what comes first for a class or team that is behind.
-    fn find_victims(&mut self) {
-        self.victims_known = true;
+    pub(super) fn find_victims(&mut self) {
         let within = self.c.within_guarantee();
         for s in &mut self.slots {
             s.victims = s
@@ -107,13 +106,15 @@
 
     /// Whether anything at all may be stopped for the group: what it would gain
     /// at best is compared with the least that is there.
-    fn any_stoppable(&self, waiting: &Waiting) -> bool {
+    pub(super) fn any_stoppable(&self, waiting: &Waiting) -> bool {
         let (job, entitled) = (waiting.group.job, self.entrants[waiting.at].within);
         let most = self.best_worth_per_time(waiting);
-        self.kinds_of_victims.iter().any(|(&(priority, team), upt)| {
-            (priority < job.spec.priority && *upt < most)
-                || (entitled && team != job.team && self.borrows(team))
-        })
+        self.kinds_of_victims
+            .iter()
+            .any(|(&(priority, team), upt)| {
+                (priority < job.spec.priority && *upt < most)
+                    || (entitled && team != job.team && self.borrows(team))
+            })
     }
 
     /// UPT that the group's tasks can't exceed on any machine: full worth over
@@ -147,9 +148,6 @@
         if need == 0 {
             return;
         }
-        if !self.victims_known {
-            self.find_victims();
-        }
         if !self.any_stoppable(waiting) {
             return;
         }
--- a/crates/tallygauge-state/src/lib.rs
+++ b/crates/tallygauge-state/src/lib.rs
@@ -200,6 +200,9 @@
         match status {
             StatusCode::OK => parse::<Revision>(&body).map(|r| Outcome::Made(r.revision)),
             StatusCode::CONFLICT => {
+                if txn.writes.is_empty() {
+                    self.budget.failed_comparison();
+                }
                 // A conflict whose keys can't be read is still surely not made.
                 let failed = parse::<Conflict>(&body).map_or_else(|_| Vec::new(), |c| c.failed);
                 Ok(Outcome::Conflict(failed))
--- a/crates/tallygauge/src/node.rs
+++ b/crates/tallygauge/src/node.rs
@@ -7,7 +7,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 use tallygauge_sched::{Cluster, Config, FloorConfig};
-use tallygauge_state::{Budget, Client, http::Http};
+use tallygauge_state::{Budget, Class, Client, http::Http};
 use tallygauge_wire::{cloud::MachineType, state::Guard, users::JobStatus};
 use tokio::{
     sync::{Notify, mpsc, oneshot},
@@ -159,6 +159,8 @@
 
 /// A question whether keys have the given versions.
 pub struct Query {
+    /// What it is for.
+    pub class: Class,
     /// Keys and versions.
     pub guards: Vec<Guard>,
     /// Where the answer goes: for each, whether it has; `None`: can't know.
--- a/crates/tallygauge/src/users.rs
+++ b/crates/tallygauge/src/users.rs
@@ -51,6 +51,10 @@
 /// Seconds that another node may take.
 const RELAY_WAIT_S: f64 = POLL_WAIT_S / 4.0;
 
+/// Part of the requests of a second in the time that questions are gathered
+/// for: they take a half of the request budget at most, however many they are.
+const WINDOW: f64 = 2.0;
+
 /// Seconds after which what the state service said of an open job is asked
 /// again before a user is told: the process may have stood still meanwhile, and
 /// the job may be over and its user told so elsewhere.
@@ -172,9 +176,8 @@
     let most = node.settings.deployment.state.txn_ops * 4;
     let turns = Arc::new(Semaphore::new(3));
     while let Some(first) = questions.recv().await {
-        // Whoever asks meanwhile shares the request: polls take a good half of
-        // the request budget at most, however many they are.
-        let window = 1.0 / node.state.budget().request_rate().max(1.0);
+        // Whoever asks meanwhile shares the request.
+        let window = WINDOW / node.state.budget().request_rate().max(1.0);
         tokio::time::sleep(Duration::from_secs_f64(window.min(0.1))).await;
         let Ok(turn) = turns.clone().acquire_owned().await else {
             return;
@@ -199,6 +202,9 @@
 }
 
 async fn compare(node: &Node, batch: Vec<Query>) {
+    // The most important takes the others along.
+    let classes = batch.iter().map(|q| q.class);
+    let class = classes.min().unwrap_or(Class::Polls);
     let mut guards: Vec<Guard> = Vec::new();
     for guard in batch.iter().flat_map(|q| &q.guards) {
         if !guards.contains(guard) {
@@ -214,7 +220,7 @@
             guards: guards.clone(),
             writes: Vec::new(),
         };
-        match node.state.transact(Class::Users, &txn).await {
+        match node.state.transact(class, &txn).await {
             Ok(Outcome::Made(_)) => break,
             Ok(Outcome::Conflict(keys)) if !keys.is_empty() => {
                 guards.retain(|g| !keys.contains(&g.key));
@@ -238,15 +244,20 @@
     }
 }
 
-async fn ask(node: &Node, guards: Vec<Guard>) -> Option<Vec<bool>> {
+async fn ask(node: &Node, class: Class, guards: Vec<Guard>) -> Option<Vec<bool>> {
     let (reply, answer) = oneshot::channel();
-    node.queries.try_send(Query { guards, reply }).ok()?;
+    let query = Query {
+        class,
+        guards,
+        reply,
+    };
+    node.queries.try_send(query).ok()?;
     answer.await.ok()?
 }
 
 /// What is true of a job now; `None` if that can't be known. Between the last
 /// look at the clock and the caller's answer there is no await.
-async fn lookup(node: &Node, id: &str) -> Option<Found> {
+async fn lookup(node: &Node, class: Class, id: &str) -> Option<Found> {
     let guard = |key: String, version| Guard { key, version };
     // Once for each turn that a job's state may take, and once more.
     for _ in 0..4 {
@@ -256,7 +267,7 @@
         match known {
             Some(Known::Over(status, done)) => return Some(Found::Over(status, done)),
             Some(Known::Open(version)) => {
-                if ask(node, vec![guard(open_key(id), version)]).await?[0] {
+                if ask(node, class, vec![guard(open_key(id), version)]).await?[0] {
                     if fresh() {
                         return Some(Found::Open);
                     }
@@ -265,8 +276,12 @@
                 node.lock(&node.jobs).forget_open(id, version);
             }
             Some(Known::Stale) | None => {
-                let verdict =
-                    ask(node, vec![guard(open_key(id), 0), guard(over_key(id), 0)]).await?;
+                let verdict = ask(
+                    node,
+                    class,
+                    vec![guard(open_key(id), 0), guard(over_key(id), 0)],
+                )
+                .await?;
                 if verdict[0] && verdict[1] {
                     if fresh() {
                         return Some(Found::Unknown);
@@ -274,7 +289,7 @@
                     continue;
                 }
                 if !verdict[0]
-                    && let Some(row) = node.state.get(Class::Users, &open_key(id)).await.ok()?
+                    && let Some(row) = node.state.get(class, &open_key(id)).await.ok()?
                 {
                     node.lock(&node.jobs).put(id, Known::Open(row.version));
                     if fresh() {
@@ -282,7 +297,7 @@
                     }
                     continue;
                 }
-                if let Some(row) = node.state.get(Class::Users, &over_key(id)).await.ok()? {
+                if let Some(row) = node.state.get(class, &over_key(id)).await.ok()? {
                     let record: OverRecord = serde_json::from_value(row.value).ok()?;
                     node.lock(&node.jobs)
                         .put(id, Known::Over(record.status, record.done));
@@ -324,7 +339,7 @@
     if !valid_job_id(id) {
         return Reply::No(404, "no such job".into());
     }
-    match lookup(node, id).await {
+    match lookup(node, Class::Polls, id).await {
         None => later(),
         Some(what) => match found(node, id, what) {
             Some(answer) => Reply::Job(200, answer),
@@ -383,7 +398,7 @@
 }
 
 async fn repeat(node: &Node, id: &str) -> Result<Option<Reply>, Reply> {
-    match lookup(node, id).await {
+    match lookup(node, Class::Users, id).await {
         None => Err(later()),
         Some(what) => Ok(found(node, id, what).map(|a| Reply::Job(200, answer(id, a.status)))),
     }
@@ -435,7 +450,7 @@
         return Reply::No(404, "no such job".into());
     }
     for _ in 0..3 {
-        match lookup(node, id).await {
+        match lookup(node, Class::Users, id).await {
             None => return later(),
             Some(Found::Unknown) => return Reply::No(404, "no such job".into()),
             Some(Found::Over(status, _)) => return Reply::Job(200, answer(id, status)),
