Floor: jobs count as overdue early only where more work is ahead than their patience

Change: only age counts; before the aim is missed it counts only where the work that is open, against the team's limit, the machines that are large enough and the zone, takes longer than the job's patience.

--- a/crates/tallygauge-sched/src/floor.rs
+++ b/crates/tallygauge-sched/src/floor.rs
@@ -11,7 +11,8 @@
 /// has no deadline.
 const PATIENCE_RUNS: f64 = 4.0;
 
-/// Part of its patience after which a job that waits counts as overdue.
+/// Part of its patience after which a job that waits counts as overdue, where
+/// there is more work ahead than can be done within its patience.
 const EARLY: f64 = 0.7;
 
 /// Length of the shorter window, in patience of the class that has most of it.
@@ -67,6 +68,29 @@
     }
 }
 
+/// How long it takes to do all that is open, by what bounds it: the team's
+/// limit, the machines that are large enough, a zone.
+struct Pressure<'a> {
+    teams: Vec<f64>,
+    /// CPUs of a machine, and seconds for all work that needs one as large.
+    sizes: Vec<(f64, f64)>,
+    zones: BTreeMap<String, f64>,
+    /// Kinds of machines that there are or that may be had.
+    kinds: BTreeSet<(&'a str, &'a str, bool)>,
+}
+
+impl Pressure<'_> {
+    /// Seconds until all work that is bound as a job is would be done.
+    fn seconds(&self, job: &Job, least_cpus: f64) -> f64 {
+        let large = self.sizes.iter().filter(|s| s.0 <= least_cpus);
+        let size = large.map(|s| s.1).fold(0.0, f64::max);
+        let zone = job.spec.zone.as_ref().and_then(|z| self.zones.get(z));
+        self.teams[job.team]
+            .max(size)
+            .max(zone.copied().unwrap_or(0.0))
+    }
+}
+
 /// How a class of jobs or a team is served.
 #[derive(Debug, Clone)]
 pub struct Standing<'a> {
@@ -148,22 +172,31 @@
         cpus.max(1.0)
     }
 
-    fn candidate(&self, job: &Job, kinds: &BTreeSet<(&str, &str, bool)>, now: f64) -> Candidate {
+    /// CPU-seconds until the last task of a job is done.
+    fn work_left(&self, job: &Job) -> f64 {
         let run = self.remaining(job, 0.0);
         let resumes = job.resumes.values();
         let resumes: f64 = resumes.map(|r| self.remaining(job, r.saved_s)).sum();
         // Of those on a machine about half is done.
         let held = f64::from(u32::try_from(job.holds.len()).unwrap_or(u32::MAX)) * run * 0.5;
-        let left = f64::from(job.waiting.len()) * run + resumes + held;
+        (f64::from(job.waiting.len()) * run + resumes + held) * job.spec.cpus
+    }
+
+    fn candidate(&self, job: &Job, work: f64, pressure: &Pressure, now: f64) -> Candidate {
         let waits = !job.waiting.is_empty() || !job.resumes.is_empty();
         let age = now - job.accepted_at;
-        let more = if waits { run } else { 0.0 };
         let due = self.patience_s(job);
         // A job that is large for its team takes longer than any aim.
+        let run = self.remaining(job, 0.0);
         let alone = job.spec.cpus * f64::from(job.spec.tasks) * run / self.fair_cpus(job.team);
-        let over = age + more - (due * EARLY).max(alone);
+        let early = if pressure.seconds(job, self.least_type(job)) > due {
+            EARLY
+        } else {
+            1.0
+        };
+        let over = age - (due * early).max(alone);
         let none = BTreeMap::new();
-        let fits = kinds.iter().any(|(machine_type, zone, spot)| {
+        let fits = pressure.kinds.iter().any(|(machine_type, zone, spot)| {
             job.allows(machine_type, zone, *spot, &none)
                 && self
                     .types
@@ -172,25 +205,43 @@
         });
         Candidate {
             places: job.places,
-            work: left * job.spec.cpus,
+            work,
             overdue_s: (over > 0.0).then_some(over),
-            late: age + more > due,
+            late: age + if waits { run } else { 0.0 } > due,
             long: over > due,
             fits,
             served: job.spec.shape == Shape::Service && !waits,
         }
     }
 
-    /// Elects the jobs that come first, for classes and teams that are behind,
-    /// and sets machines aside for them. To be called about four times a report
-    /// interval.
-    pub fn elect(&mut self, now: f64) {
-        if self.cfg.floor.share <= 0.0 {
-            return;
-        }
+    /// How much work there is against the machines, with the work that each
+    /// open job has left.
+    fn pressure(&self, works: &[(&Job, f64)], now: f64) -> Pressure<'_> {
         let mut kinds: BTreeSet<(&str, &str, bool)> = BTreeSet::new();
-        for w in self.workers.values().filter(|w| w.usable(now, &self.cfg)) {
-            kinds.insert((&w.machine_type, &w.zone, w.spot));
+        let mut sizes: Vec<f64> = self.types.values().map(|t| t.cpus).collect();
+        sizes.sort_by(f64::total_cmp);
+        sizes.dedup();
+        let mut room = 0.0;
+        let mut room_of = vec![0.0; sizes.len()];
+        let mut room_in: BTreeMap<&str, f64> = BTreeMap::new();
+        for w in self.workers.values() {
+            let coming = !w.up() && w.leaving.is_none();
+            let usable = w.usable(now, &self.cfg);
+            if usable {
+                kinds.insert((&w.machine_type, &w.zone, w.spot));
+            }
+            let Some(t) = self.types.get(&w.machine_type) else {
+                continue;
+            };
+            if usable || coming {
+                room += t.cpus;
+                *room_in.entry(&w.zone).or_default() += t.cpus;
+                for (size, room) in sizes.iter().zip(&mut room_of) {
+                    if t.cpus >= *size {
+                        *room += t.cpus;
+                    }
+                }
+            }
         }
         for t in self.types.values() {
             for zone in &t.zones {
@@ -202,10 +253,59 @@
                 }
             }
         }
-        let jobs: Vec<&Job> = self.jobs.values().collect();
-        let candidates: Vec<Candidate> = jobs
+        let mut by_team = vec![0.0; self.cfg.teams.len()];
+        let mut by_size = vec![0.0; sizes.len()];
+        let mut by_zone: BTreeMap<String, f64> = BTreeMap::new();
+        for (job, work) in works {
+            by_team[job.team] += work;
+            let least = self.least_type(job);
+            for (size, sum) in sizes.iter().zip(&mut by_size) {
+                if *size <= least {
+                    *sum += work;
+                }
+            }
+            if let Some(zone) = &job.spec.zone {
+                *by_zone.entry(zone.clone()).or_default() += work;
+            }
+        }
+        let per = |work: f64, room: f64| {
+            if work > 0.0 {
+                work / room.max(EPS)
+            } else {
+                0.0
+            }
+        };
+        let limit = |team: usize| self.cfg.teams[team].cpus_max.min(room);
+        Pressure {
+            teams: (0..by_team.len())
+                .map(|n| per(by_team[n], limit(n)))
+                .collect(),
+            sizes: (0..sizes.len())
+                .map(|n| (sizes[n], per(by_size[n], room_of[n])))
+                .collect(),
+            zones: by_zone
+                .into_iter()
+                .map(|(zone, work)| {
+                    let room = room_in.get(zone.as_str()).copied().unwrap_or(0.0);
+                    (zone, per(work, room))
+                })
+                .collect(),
+            kinds,
+        }
+    }
+
+    /// Elects the jobs that come first, for classes and teams that are behind,
+    /// and sets machines aside for them. To be called about four times a report
+    /// interval.
+    pub fn elect(&mut self, now: f64) {
+        if self.cfg.floor.share <= 0.0 {
+            return;
+        }
+        let works: Vec<(&Job, f64)> = self.jobs.values().map(|j| (j, self.work_left(j))).collect();
+        let pressure = self.pressure(&works, now);
+        let candidates: Vec<Candidate> = works
             .iter()
-            .map(|j| self.candidate(j, &kinds, now))
+            .map(|(job, work)| self.candidate(job, *work, &pressure, now))
             .collect();
         let level = Level {
             least: self.cfg.floor.share * LEAST,
@@ -215,7 +315,7 @@
         let election = elect(&self.floor.book, &candidates, level, at);
         let mut seats = HashMap::new();
         for (order, seat) in (0..).zip(&election.seats) {
-            let job = jobs[seat.candidate];
+            let job = works[seat.candidate].0;
             let seat = Seat {
                 place: job.places[0],
                 least: seat.least,
@@ -223,11 +323,15 @@
             };
             seats.insert(job.spec.id.clone(), seat);
         }
-        let elected: Vec<&Job> = election.seats.iter().map(|s| jobs[s.candidate]).collect();
+        let elected: Vec<&Job> = election
+            .seats
+            .iter()
+            .map(|s| works[s.candidate].0)
+            .collect();
         // Each class that is behind has an equal part, and so has all work of
         // the others together.
         let behind: BTreeSet<usize> = seats.values().map(|s: &Seat| s.place).collect();
-        let others = jobs.iter().any(|j| {
+        let others = works.iter().any(|(j, _)| {
             !behind.contains(&j.places[0]) && (!j.waiting.is_empty() || !j.resumes.is_empty())
         });
         let parties = behind.len() + usize::from(others);
