Deaf machines, late copies and workers that begin again are told apart

Copies of old reports were answered and noted as renewals, so a dead machine's tasks were held while copies came; a returned machine's copies made a room that nobody has. Now a package of its own judges: signs in a row that answers and commands are not heeded (doubted, then deaf; nothing new there, not counted on, asked, let in again at once, returned after four leases), old messages are answered only where a direct answer overtook them, who lives is asked, and a worker that answers with a lower number than before has begun again. Also the test that the floor's counts outlive a restart of all.

--- /dev/null
+++ b/crates/tallygauge-judge/src/order.rs
@@ -0,0 +1,125 @@
+//! The order of a worker's messages, and what falls out of it.
+
+/// Place of a message in its worker's own order: session, then number.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Mark {
+    /// Session.
+    pub session: u64,
+    /// Number of the message; it grows with every one.
+    pub seq: u64,
+}
+
+/// What a message is, by its place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// Newer than all that was heard.
+    New,
+    /// Older, but its worker may still wait for the answer: a direct answer,
+    /// made after it was sent, came before it.
+    Overtaken,
+    /// Older: a late copy, or the word of a worker that has begun again. Who
+    /// lives can be asked.
+    Old,
+}
+
+/// The newest message of a worker, as far as it was heard.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Order {
+    /// Its place.
+    pub newest: Mark,
+    /// When a direct answer was last the newest.
+    direct_at: Option<f64>,
+    /// An old message came, and nobody was asked about it since.
+    doubt: bool,
+}
+
+impl Order {
+    /// Places a message that arrives at `now`. A worker waits `patience_s` for
+    /// the answer to a report, and has one under way at a time.
+    #[must_use]
+    pub fn place(&self, mark: Mark, now: f64, patience_s: f64) -> Place {
+        if mark > self.newest {
+            return Place::New;
+        }
+        let waits = self.direct_at.is_some_and(|at| now - at <= patience_s);
+        if waits && mark.session == self.newest.session && mark.seq < self.newest.seq {
+            Place::Overtaken
+        } else {
+            Place::Old
+        }
+    }
+
+    /// Takes a new message up.
+    pub fn take(&mut self, mark: Mark, direct: bool, now: f64) {
+        self.newest = mark;
+        if direct {
+            self.direct_at = Some(now);
+        }
+        self.doubt = false;
+    }
+
+    /// An old message came: it should be asked who lives.
+    pub fn wonder(&mut self) {
+        self.doubt = true;
+    }
+
+    /// Whether it should be asked who lives.
+    #[must_use]
+    pub fn wonders(&self) -> bool {
+        self.doubt
+    }
+
+    /// It was asked: until the next old message there is no need to ask again.
+    pub fn asked(&mut self) {
+        self.doubt = false;
+    }
+}
+
+impl Mark {
+    /// Whether a worker that answers a question with this has begun again since
+    /// `before` was its newest message at the time of the question: whoever
+    /// lives answers with a number above all that it has sent.
+    #[must_use]
+    pub fn begun_again_since(self, before: Mark) -> bool {
+        self <= before
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn mark(session: u64, seq: u64) -> Mark {
+        Mark { session, seq }
+    }
+
+    // A copy was answered as if its sender waited, and a dead machine's tasks
+    // were held for as long as copies of its reports came.
+    #[test]
+    fn only_what_a_direct_answer_overtook_is_still_waited_for() {
+        let mut order = Order::default();
+        order.take(mark(2, 10), false, 100.0);
+        assert_eq!(order.place(mark(2, 11), 100.1, 4.0), Place::New);
+        assert_eq!(order.place(mark(3, 1), 100.1, 4.0), Place::New);
+        assert_eq!(order.place(mark(2, 10), 100.1, 4.0), Place::Old);
+        assert_eq!(order.place(mark(2, 9), 100.1, 4.0), Place::Old);
+        order.take(mark(2, 12), true, 101.0);
+        assert_eq!(order.place(mark(2, 11), 101.1, 4.0), Place::Overtaken);
+        assert_eq!(order.place(mark(1, 99), 101.1, 4.0), Place::Old);
+        assert_eq!(order.place(mark(2, 12), 101.1, 4.0), Place::Old, "itself");
+        assert_eq!(order.place(mark(2, 11), 105.1, 4.0), Place::Old, "given up");
+    }
+
+    #[test]
+    fn who_lives_is_asked_once_for_each_old_message_at_most() {
+        let mut order = Order::default();
+        assert!(!order.wonders());
+        order.wonder();
+        assert!(order.wonders());
+        order.asked();
+        assert!(!order.wonders());
+        order.wonder();
+        order.take(mark(1, 1), false, 1.0);
+        assert!(!order.wonders(), "a new message answers it");
+    }
+}
--- a/crates/tallygauge-sched/examples/overload/day.rs
+++ b/crates/tallygauge-sched/examples/overload/day.rs
@@ -453,8 +453,7 @@
         let name = machine.name.clone();
         self.c.on_report(now, &report, Source::CheckIn);
         let commands = self.c.commands(&name, now);
-        self.c.sent(&name, &commands);
-        self.c.answered(&name, now);
+        self.c.answered(&name, &commands, now);
         self.execute(at, commands, now);
     }
 
--- a/crates/tallygauge-sched/examples/scale.rs
+++ b/crates/tallygauge-sched/examples/scale.rs
@@ -121,8 +121,7 @@
         let began = Instant::now();
         c.on_report(now, &report, Source::CheckIn);
         let commands = c.commands(name, now);
-        c.sent(name, &commands);
-        c.answered(name, now);
+        c.answered(name, &commands, now);
         let took = began.elapsed().as_secs_f64();
         for command in commands {
             match command {
--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -8,8 +8,15 @@
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
+use tallygauge_judge::Departed;
 use tallygauge_wire::{cloud::MachineType, users::JobSpec};
 
+/// Machines that went which are remembered, at most.
+const MOST_DEPARTED: usize = 4096;
+
+/// Leases for which they are: copies of their reports come no later.
+const DEPARTED_LEASES: f64 = 16.0;
+
 /// Resources that a team's attempts occupy.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Ledger {
@@ -63,6 +70,8 @@
     pub(crate) attention: BTreeSet<String>,
     /// Direct messages under way.
     pub(crate) direct_under_way: usize,
+    /// Questions among them.
+    pub(crate) questions: usize,
     /// By place of a machine type in order of size: demand for machines at
     /// least as large.
     pub(crate) rises: Vec<Rises>,
@@ -73,8 +82,8 @@
     pub events: Vec<(bool, String)>,
     /// Something changed that a round should look at.
     pub changed: bool,
-    /// Machines that went, and when: an old list may still show them.
-    pub(crate) departed: BTreeMap<String, f64>,
+    /// Machines that went: old lists and late reports may still show them.
+    pub(crate) departed: Departed,
     pub(crate) drains: Vec<Drain>,
     pub(crate) floor: Floor,
 }
@@ -87,6 +96,7 @@
         let ledgers = vec![Ledger::default(); cfg.teams.len()];
         let next_attempt = before_first(cfg.term);
         let floor = Floor::new(&cfg);
+        let departed = Departed::new(MOST_DEPARTED, cfg.lease_s * DEPARTED_LEASES);
         Self {
             cfg,
             term_at: now,
@@ -106,11 +116,12 @@
             dirty_jobs: BTreeSet::new(),
             attention: BTreeSet::new(),
             direct_under_way: 0,
+            questions: 0,
             rises: Vec::new(),
             wake_at: None,
             events: Vec::new(),
             changed: true,
-            departed: BTreeMap::new(),
+            departed,
             drains: Vec::new(),
             floor,
         }
--- a/crates/tallygauge-sched/src/commands.rs
+++ b/crates/tallygauge-sched/src/commands.rs
@@ -1,6 +1,7 @@
 //! Commands: what a worker should do now, in answers and direct messages.
 
 use crate::{cluster::Cluster, model::*};
+use tallygauge_judge::{Mark, Sign};
 use tallygauge_wire::workers::{Command, TaskState};
 
 /// A direct message to a worker.
@@ -16,8 +17,16 @@
     pub commands: Vec<Command>,
     /// Attempts whose start is in it.
     pub starts: Vec<u64>,
+    /// The worker's newest message when this was made up: whoever lives answers
+    /// with a later one.
+    pub before: Mark,
+    /// Only asks whether the worker lives and hears.
+    pub question: bool,
 }
 
+/// One in so many direct messages may be a question.
+const QUESTIONS: usize = 4;
+
 impl Cluster {
     /// Commands that a worker should execute now.
     #[must_use]
@@ -73,16 +82,24 @@
         out
     }
 
-    /// Notes that starts went out, in the answer to a check-in.
-    pub fn sent(&mut self, name: &str, commands: &[Command]) {
+    /// Notes that a check-in is answered with our token and these commands.
+    pub fn answered(&mut self, name: &str, commands: &[Command], now: f64) {
+        let term = self.cfg.term;
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
+        worker.answered_at = now;
+        worker.owes = worker.token < term;
         for command in commands {
-            if let Command::Start { attempt, .. } = command {
-                for held in worker.held.iter_mut().filter(|h| h.attempt == *attempt) {
-                    held.sent = true;
-                }
+            let attempt = match command {
+                Command::Start { attempt, .. } | Command::Clear { attempt, .. } => *attempt,
+                Command::Stop { .. } => continue,
+            };
+            let start = matches!(command, Command::Start { .. });
+            for held in worker.held.iter_mut().filter(|h| h.attempt == attempt) {
+                held.sent |= start;
+                held.carried = true;
+                worker.owes = true;
             }
         }
     }
@@ -118,8 +135,15 @@
                             _ => false,
                         }
                 });
+            // Who is in doubt is asked: whoever lives and hears answers.
+            let ask = w.session > w.dead_session
+                && (w.order.wonders() || (w.fenced_at.is_some() && w.hearing.in_question()));
             if !fence && !act {
-                continue;
+                // Many may be deaf at once: their questions must not stand in
+                // the way of starts. The next check-in brings them up again.
+                if !ask || self.questions >= most.div_ceil(QUESTIONS) {
+                    continue;
+                }
             }
             // Those that can't have one now are looked at again.
             if w.direct_busy || now < w.direct_after {
@@ -147,7 +171,10 @@
                     }
                 }
             }
+            let question = !fence && !act;
+            self.questions += usize::from(question);
             worker.direct_busy = true;
+            worker.order.asked();
             self.direct_under_way += 1;
             let session = if worker.session > 0 {
                 worker.session
@@ -160,6 +187,8 @@
                 session,
                 commands,
                 starts,
+                before: worker.order.newest,
+                question,
             });
         }
         self.attention.extend(due);
@@ -176,8 +205,9 @@
         never_sent: bool,
         now: f64,
     ) {
-        let report_s = self.cfg.report_s;
+        let (report_s, limits) = (self.cfg.report_s, self.cfg.hearing());
         self.direct_under_way = self.direct_under_way.saturating_sub(1);
+        self.questions = self.questions.saturating_sub(usize::from(message.question));
         self.attention.insert(message.worker.clone());
         let Some(worker) = self.workers.get_mut(&message.worker) else {
             return;
@@ -187,6 +217,10 @@
             worker.direct_failures = 0;
         } else {
             worker.direct_failures += 1;
+            // It speaks, and does not hear.
+            if now - worker.heard_at < report_s * 1.5 {
+                worker.hearing.sign(Sign::Unanswered, now, &limits);
+            }
             let doublings = worker.direct_failures.min(4) - 1;
             worker.direct_after = now + report_s * 0.5 * f64::from(1u32 << doublings);
         }
--- a/crates/tallygauge-sched/src/demand.rs
+++ b/crates/tallygauge-sched/src/demand.rs
@@ -110,6 +110,7 @@
             let coming = !w.up() && now - w.rented_at < t.boot_s * 1.7;
             let quiet = w.up() && now - w.heard_at < self.cfg.lease_s;
             let stays = w.leaving.is_none() && w.notice_until.is_none() && w.drained.is_none();
+            let stays = stays && w.hearing.trusted(now, &self.cfg.hearing());
             if stays && (coming || quiet) && w.free.cpus + EPS >= smallest {
                 market.rooms.push(Virtual {
                     machine_type: &w.machine_type,
@@ -357,7 +358,7 @@
             let forced = match reason {
                 LeaveReason::Unconfirmed => true,
                 LeaveReason::NoBoot | LeaveReason::Failed => now - self.term_at > settle,
-                LeaveReason::Silent => now - since > settle,
+                LeaveReason::Silent | LeaveReason::Deaf => now - since > settle,
                 LeaveReason::Faulty
                 | LeaveReason::Slow
                 | LeaveReason::Idle
--- a/crates/tallygauge-sched/src/lib.rs
+++ b/crates/tallygauge-sched/src/lib.rs
@@ -35,4 +35,5 @@
 pub use ranges::RangeSet;
 pub use reports::{Source, Verdict};
 pub use tallygauge_floor::{Kind, Record as FloorRecord};
+pub use tallygauge_judge::{Hearing, Mark};
 pub use why::{Reason, Why};
--- a/crates/tallygauge-sched/src/machines.rs
+++ b/crates/tallygauge-sched/src/machines.rs
@@ -3,6 +3,7 @@
 
 use crate::{cluster::Cluster, model::*};
 use std::collections::{BTreeSet, HashMap};
+use tallygauge_judge::{Hearing, Order};
 use tallygauge_wire::{
     cloud::{Machine, MachineState},
     users::Shape,
@@ -41,7 +42,10 @@
                 rented_at: now,
                 known_at: now,
                 session: 0,
-                seq: 0,
+                order: Order::default(),
+                token: 0,
+                hearing: Hearing::default(),
+                owes: false,
                 session_at: now,
                 booted_at: None,
                 dead_session: 0,
@@ -79,11 +83,11 @@
     pub fn on_list(&mut self, machines: &[Machine], asked_at: f64, now: f64) -> Vec<String> {
         // The list shows all that was known by then, and nothing gone by then.
         let sure = asked_at - 2.0 * self.cfg.list_lag_s - self.cfg.margin_s();
-        self.departed.retain(|_, at| *at > sure);
+        self.departed.forget(now);
         let mut listed = BTreeSet::new();
         for m in machines {
             listed.insert(m.name.as_str());
-            if self.departed.contains_key(&m.name) {
+            if self.departed.outdates(&m.name, sure) {
                 continue;
             }
             self.know(&m.name, &m.machine_type, &m.zone, m.spot, &m.endpoint, now);
@@ -115,7 +119,7 @@
     /// A machine is surely gone, and everything on it.
     pub fn gone(&mut self, name: &str, now: f64) {
         self.end_session(name, u64::MAX, now);
-        self.departed.insert(name.to_string(), now);
+        self.departed.went(name, now);
         self.workers.remove(name);
     }
 
@@ -197,6 +201,11 @@
         if worker.held.is_empty() && now - heard > cfg.lease_s * SILENT_LEASES {
             return Some(LeaveReason::Silent);
         }
+        // So do those that hear nothing: a zone may be cut in one direction.
+        let deaf = worker.hearing.deaf_for(now);
+        if deaf.is_some_and(|s| s > cfg.lease_s * SILENT_LEASES) {
+            return Some(LeaveReason::Deaf);
+        }
         if worker.pace.1 >= 3 && worker.pace.0 / f64::from(worker.pace.1) > 1.8 {
             return Some(LeaveReason::Slow);
         }
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -6,6 +6,7 @@
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
+use tallygauge_judge::{Hearing, Limits, Order};
 use tallygauge_wire::{
     cloud::MachineType,
     users::{JobSpec, Priority, Shape},
@@ -97,6 +98,19 @@
         seconds * (1.0 + 2.0 * self.drift) + self.margin_s()
     }
 
+    /// What speaks against a machine's hearing, and from when on it counts. A
+    /// lost answer is told from a deaf machine by the next ones: within a
+    /// lease, and no sooner than three reports.
+    #[must_use]
+    pub fn hearing(&self) -> Limits {
+        Limits {
+            doubted: 2,
+            deaf: 3,
+            apart_s: self.report_s * 0.5,
+            memory_s: self.lease_s,
+        }
+    }
+
     /// The team's place in the configuration.
     #[must_use]
     pub fn team(&self, name: &str) -> Option<usize> {
@@ -269,6 +283,9 @@
     pub end_durable: bool,
     /// The batch of placements that it is on record in.
     pub batch: Option<Arc<str>>,
+    /// The answer to the last check-in carried its start, or that it is to be
+    /// forgotten: the next one must show that.
+    pub carried: bool,
 }
 
 impl Held {
@@ -291,6 +308,7 @@
             uncertain: false,
             end_durable: false,
             batch: None,
+            carried: false,
         }
     }
 
@@ -453,6 +471,8 @@
     Silent,
     /// An operator wants it gone.
     Drained,
+    /// It reports, but what is sent to it does not reach it.
+    Deaf,
 }
 
 /// What drains mean for one machine.
@@ -483,8 +503,15 @@
     pub known_at: f64,
     /// Session of the newest report; 0 before the first.
     pub session: u64,
-    /// Sequence number of the newest report.
-    pub seq: u64,
+    /// Its messages so far.
+    pub order: Order,
+    /// Highest token that it has shown.
+    pub token: u64,
+    /// Whether what is sent to it reaches it.
+    pub hearing: Hearing,
+    /// The answer to its last check-in carried something that the next one must
+    /// show: our token, or what is `carried`.
+    pub owes: bool,
     /// When the session was first heard of.
     pub session_at: f64,
     /// When the list first called the machine running: its worker may be out
@@ -541,6 +568,7 @@
             && self.notice_until.is_none()
             && self.drained.is_none()
             && now - self.heard_at < cfg.report_s * 2.5
+            && self.hearing.trusted(now, &cfg.hearing())
     }
 
     /// Whether it has reported to this leader.
--- a/crates/tallygauge-sched/src/reports.rs
+++ b/crates/tallygauge-sched/src/reports.rs
@@ -1,10 +1,11 @@
 //! Reports: what a worker says of its tasks, and what follows from it.
 
-use crate::{cluster::Cluster, model::*};
+use crate::{cluster::Cluster, commands::DirectMessage, model::*};
 use std::collections::HashMap;
+use tallygauge_judge::{Mark, Place, Sign};
 use tallygauge_wire::{
     users::Shape,
-    workers::{EndCause, Report, TaskReport, TaskState},
+    workers::{ANSWER_WAIT_S, EndCause, Report, TaskReport, TaskState},
 };
 
 /// What a report means for this node.
@@ -12,7 +13,10 @@
 pub enum Verdict {
     /// Taken up; it may be answered.
     Taken,
-    /// Older than what is known; a check-in may still be answered.
+    /// Older than what is known, but its worker may wait for the answer.
+    Overtaken,
+    /// Older than what is known: a late copy, or of a worker that has begun
+    /// again. Nobody waits for an answer that should be kept.
     Stale,
     /// From a session that is over: answering would serve nobody.
     Dead,
@@ -38,6 +42,10 @@
             return Verdict::Deposed(report.token);
         }
         if !self.workers.contains_key(&report.machine) {
+            // A late copy must not make a room that nobody has.
+            if self.departed.is_gone(&report.machine) {
+                return Verdict::Dead;
+            }
             self.know(
                 &report.machine,
                 &report.machine_type,
@@ -54,14 +62,42 @@
         if report.session <= worker.dead_session {
             return Verdict::Dead;
         }
-        if (report.session, report.seq) <= (worker.session, worker.seq) {
-            return Verdict::Stale;
+        let mark = Mark {
+            session: report.session,
+            seq: report.seq,
+        };
+        match worker.order.place(mark, now, ANSWER_WAIT_S) {
+            Place::New => {}
+            Place::Overtaken => return Verdict::Overtaken,
+            Place::Old => {
+                // A worker that has begun again counts from the beginning: whoever
+                // lives is asked.
+                if source == Source::CheckIn && mark != worker.order.newest {
+                    worker.order.wonder();
+                    self.attention.insert(report.machine.clone());
+                }
+                return Verdict::Stale;
+            }
+        }
+        // Tokens never fall as long as a worker lives.
+        if report.token < worker.token && source == Source::CheckIn {
+            self.begun_again(&report.machine, None, now);
+            return Verdict::Dead;
         }
+        worker.token = worker.token.max(report.token);
+        self.weigh(now, report, source);
+        let Some(worker) = self.workers.get_mut(&report.machine) else {
+            return Verdict::Stale;
+        };
         if worker.endpoint != report.endpoint {
             worker.endpoint.clone_from(&report.endpoint);
         }
         worker.heard_at = now;
-        worker.direct_failures = 0;
+        if worker.hearing.in_question() {
+            self.attention.insert(report.machine.clone());
+        } else {
+            worker.direct_failures = 0;
+        }
         // It lives after all.
         if matches!(
             worker.leaving,
@@ -76,7 +112,7 @@
             worker.session_at = now;
         }
         worker.session = report.session;
-        worker.seq = report.seq;
+        worker.order.take(mark, source == Source::Direct, now);
         if report.token == term && worker.fenced_at.is_none() {
             self.changed = true;
             worker.fenced_at = Some(now);
@@ -115,6 +151,121 @@
         Verdict::Taken
     }
 
+    /// Takes up the answer to a direct message: only who lives gives one, with a
+    /// number above all that it had sent before it was asked.
+    pub fn on_direct(&mut self, now: f64, message: &DirectMessage, report: &Report) -> Verdict {
+        if report.token > self.cfg.term {
+            return Verdict::Deposed(report.token);
+        }
+        let mark = Mark {
+            session: report.session,
+            seq: report.seq,
+        };
+        if mark.begun_again_since(message.before) {
+            self.begun_again(&report.machine, Some(report), now);
+            return Verdict::Dead;
+        }
+        if let Some(worker) = self.workers.get_mut(&report.machine) {
+            Self::hears(worker);
+        }
+        self.on_report(now, report, Source::Direct)
+    }
+
+    /// What is sent to a machine reaches it.
+    fn hears(worker: &mut Worker) {
+        worker.hearing.heard();
+        if matches!(worker.leaving, Some((LeaveReason::Deaf, _))) && !worker.return_sent {
+            worker.leaving = None;
+        }
+    }
+
+    /// Weighs what a new report says of its worker's hearing: whether it shows
+    /// what the answer before it carried. A worker sends a check-in when it has
+    /// taken or given up the answer to the one before.
+    fn weigh(&mut self, now: f64, report: &Report, source: Source) {
+        let (cfg, limits) = (&self.cfg, self.cfg.hearing());
+        if source != Source::CheckIn {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(&report.machine) else {
+            return;
+        };
+        let renewed = worker.answered_at;
+        let mut sign = None;
+        if report.session > worker.session {
+            // Answered all the time, its session lasts for a lease from the last
+            // answer; a few of them may have been lost.
+            let sure = renewed + cfg.lease_s - cfg.report_s * 2.5 - cfg.margin_s();
+            sign = (now < sure).then_some(Sign::SessionOver);
+        } else if worker.owes {
+            let shown = |h: &Held| {
+                let there = |t: &&TaskReport| t.attempt == h.attempt && h.is_called(&t.task);
+                report.tasks.iter().any(|t| there(&t))
+            };
+            let unheeded = |h: &Held| match h.phase {
+                Phase::Recorded => !shown(h),
+                Phase::Ended(_) => shown(h),
+                Phase::Planned | Phase::On(_) => false,
+            };
+            let mut carried = worker.held.iter().filter(|h| h.carried);
+            if report.token < cfg.term || carried.any(unheeded) {
+                sign = Some(Sign::Unheeded);
+            } else {
+                Self::hears(worker);
+            }
+        } else if let Some(deaf_s) = worker.hearing.deaf_for(now)
+            && deaf_s.min(now - worker.session_at) > cfg.stretched(cfg.lease_s)
+        {
+            // The session has lasted for longer than a lease since: an answer
+            // was taken.
+            Self::hears(worker);
+        }
+        worker.owes = false;
+        worker.held.iter_mut().for_each(|h| h.carried = false);
+        if let Some(sign) = sign
+            && worker.hearing.sign(sign, now, &limits)
+        {
+            let text = format!("{} reports but hears nothing: {sign:?}", worker.name);
+            self.events.push((true, text));
+        }
+    }
+
+    /// A machine's worker has begun again, its tasks gone: its numbers are
+    /// another life's, so that nothing more of this session is taken up. It
+    /// goes on with the next one after a lease, since it isn't answered until
+    /// then. What its own word (with our token) lacks is free at once, but for
+    /// starts that may yet arrive: those are held until the session is over.
+    fn begun_again(&mut self, name: &str, word: Option<&Report>, now: f64) {
+        let term = self.cfg.term;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let session = worker.session;
+        worker.dead_session = worker.dead_session.max(session);
+        worker.session_at = now;
+        worker.order.asked();
+        worker.images = Images::default();
+        Self::hears(worker);
+        worker.token = word.map_or(0, |w| w.token);
+        worker.direct_failures = 0;
+        worker.strays.clear();
+        self.changed = true;
+        let text = format!("{name} has begun again: what ran there is lost");
+        self.events.push((true, text));
+        let Some(word) = word.filter(|w| w.token == term) else {
+            return;
+        };
+        let there = |h: &Held| word.tasks.iter().any(|t| t.attempt == h.attempt);
+        let gone = self.take_off(name, |h| {
+            h.phase != Phase::Planned && h.direct_pending == 0 && !h.uncertain && !there(h)
+        });
+        for held in gone.iter().filter(|h| h.occupies()) {
+            let saved = self.saved_after_loss(held, now);
+            self.vacate(name, held, now);
+            self.requeue(held, saved, name, 0.0);
+        }
+    }
+
     fn take_tasks(&mut self, now: f64, report: &Report, source: Source) {
         let name = report.machine.as_str();
         let fenced = report.token == self.cfg.term;
@@ -396,13 +547,6 @@
         let pace = self.paces.get(class).copied().unwrap_or_default();
         ((pace.ratio_sum + 5.0) / (pace.count + 5.0)).clamp(0.4, 2.5)
     }
-
-    /// Marks that a check-in of the worker was answered with our token.
-    pub fn answered(&mut self, name: &str, now: f64) {
-        if let Some(worker) = self.workers.get_mut(name) {
-            worker.answered_at = now;
-        }
-    }
 }
 
 /// Whether a report shows a worker's attempts just as they are known, all of
--- a/crates/tallygauge-sched/src/tests/drains.rs
+++ b/crates/tallygauge-sched/src/tests/drains.rs
@@ -73,7 +73,7 @@
         vec![drain(Scope::Zone("a".into()), Some(115.0), true)],
         102.0,
     );
-    c.answered("sa", 105.0);
+    c.answered("sa", &[], 105.0);
     let stopped = |c: &Cluster| -> Vec<String> {
         let held = c.workers["sa"].held.iter().filter(|h| h.stop.is_some());
         let mut ids: Vec<String> = held.map(|h| h.spec.id.clone()).collect();
--- a/crates/tallygauge-sched/src/tests/mod.rs
+++ b/crates/tallygauge-sched/src/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod drains;
 mod floor;
+mod judging;
 
 use crate::{mapping::Group, *};
 use proptest::prelude::*;
@@ -509,7 +510,7 @@
         let runs = vec![task("req-1/0", 77, TaskState::Running, None)];
         let told = report("sa", 1, seq as u64 + 1, TERM, runs);
         c.on_report(now, &told, Source::CheckIn);
-        c.answered("sa", now);
+        c.answered("sa", &[], now);
         c.tick(now);
     }
     let leaving = c.workers["sa"].leaving.map(|l| l.0);
@@ -532,7 +533,7 @@
     let carried = start_of(&c, "sb", 100.5);
     assert_eq!(carried.len(), 1);
     let commands = c.commands("sb", 100.5);
-    c.sent("sb", &commands);
+    c.answered("sb", &commands, 100.5);
     // With time to spare again, only what no check-in carried goes out.
     let rest = c.direct_messages(101.0, 1.0);
     let workers: Vec<&str> = rest.iter().map(|m| m.worker.as_str()).collect();
@@ -722,7 +723,7 @@
     c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
     round(&mut c, 100.0);
     let commands = c.commands("sa", 100.0);
-    c.sent("sa", &commands);
+    c.answered("sa", &commands, 100.0);
     let held = &mut c.workers.get_mut("sa").unwrap().held[0];
     held.stop = Some(Stop {
         reason: StopReason::Drained,
--- a/crates/tallygauge-wire/src/workers.rs
+++ b/crates/tallygauge-wire/src/workers.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Seconds that a worker waits for the answer to a report.
+pub const ANSWER_WAIT_S: f64 = 4.0;
+
 /// State of a task on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/tallygauge/src/workers.rs
+++ b/crates/tallygauge/src/workers.rs
@@ -76,22 +76,24 @@
             }
             Some(lead) => {
                 let term = lead.term;
-                lead.called = now;
                 let commands = match lead.cluster.as_mut() {
                     None => Vec::new(),
                     Some(cluster) => {
-                        if cluster.on_report(now, &report, Source::CheckIn) == Verdict::Dead {
-                            return CheckIn::NotNow;
+                        match cluster.on_report(now, &report, Source::CheckIn) {
+                            Verdict::Taken | Verdict::Overtaken => {}
+                            // A copy of what was answered long ago renews no
+                            // lease and brings no orders.
+                            Verdict::Stale | Verdict::Dead | Verdict::Deposed(_) => {
+                                return CheckIn::NotNow;
+                            }
                         }
                         changed = std::mem::take(&mut cluster.changed);
                         let commands = cluster.commands(&report.machine, now);
-                        if !commands.is_empty() {
-                            cluster.sent(&report.machine, &commands);
-                        }
-                        cluster.answered(&report.machine, now);
+                        cluster.answered(&report.machine, &commands, now);
                         commands
                     }
                 };
+                lead.called = now;
                 Some(ReportAnswer {
                     token: term,
                     commands,
@@ -185,7 +187,7 @@
         cluster.direct_done(&message, report.is_some(), never_sent, now);
         if let Some(report) = &report
             && report.machine == message.worker
-            && let Verdict::Deposed(term) = cluster.on_report(now, report, Source::Direct)
+            && let Verdict::Deposed(term) = cluster.on_direct(now, &message, report)
         {
             deposed = Some(term);
         }
--- a/crates/tallygauge/tests/failures.rs
+++ b/crates/tallygauge/tests/failures.rs
@@ -359,3 +359,47 @@
         matches!(check_in(&a, b"{"), CheckIn::Elsewhere(r) if r.report_to.as_deref() == Some("n-b"))
     );
 }
+
+// The floor counts what is over. Lost at a restart of all, a class that had all
+// its jobs served would look as if it had none, and others would come first.
+#[tokio::test(start_paused = true)]
+async fn what_was_served_is_known_after_all_controllers_were_down() {
+    let done = |node: &tallygauge::node::Node| {
+        let all = node.with_cluster(|c| {
+            let standings = c.standings();
+            standings.iter().map(|s| s.tally.done).collect::<Vec<u64>>()
+        });
+        all.unwrap_or_default()
+    };
+    let (world, a, task) = led().await;
+    for n in 1..=2 {
+        let (id, body) = world.job(n, 2, 2.0, 3.0);
+        accepted(&a, &body).await;
+        assert!(until(60.0, async || ask(&a, &id).await == Some(JobStatus::Done)).await);
+    }
+    assert_eq!(done(&a), [2, 2], "its class and its team");
+    tokio::time::sleep(Duration::from_secs_f64(REPORT_S * 6.0)).await;
+    task.abort();
+    world.forget_node("n-a");
+    let (b, task) = world.node("n-b");
+    assert!(until(30.0, async || leads(&b)).await);
+    assert_eq!(done(&b), [2, 2]);
+    // A record that can't be read is no reason not to lead.
+    task.abort();
+    world.forget_node("n-b");
+    let torn = Transaction {
+        guards: Vec::new(),
+        writes: vec![Write::Set {
+            key: "s/floor".into(),
+            value: serde_json::json!({"v": 1, "c": "torn"}),
+            lease: None,
+        }],
+    };
+    b.state.transact(Class::Placement, &torn).await.unwrap();
+    let (c, _task) = world.node("n-c");
+    assert!(until(30.0, async || leads(&c)).await);
+    let (id, body) = world.job(3, 2, 2.0, 3.0);
+    accepted(&c, &body).await;
+    assert!(until(60.0, async || ask(&c, &id).await == Some(JobStatus::Done)).await);
+    assert_eq!(done(&c), [1, 1], "counting began anew");
+}
