Large for the bound on beginning: a fifth by each reading; for the floor a tenth

Estimates are wrong by half: the top tenth of what jobs turn out to be is covered by a fifth of what they are said to be.

--- a/crates/tallygauge-floor/src/book.rs
+++ b/crates/tallygauge-floor/src/book.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     ring::{BUCKETS, Ring},
-    sizes::{Size, Sizes},
+    sizes::{LARGEST, Size, Sizes},
 };
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, sync::Arc};
@@ -189,14 +189,21 @@
     /// Where the largest jobs of the class at a place count, if a job of this
     /// size is one of them.
     pub fn largest(&mut self, class: usize, size: Size) -> Option<usize> {
-        let [over, open] = self.sizes.entry(class).or_default();
-        if !over.is_largest(open, size) {
+        if !self.is_large(class, size, LARGEST) {
             return None;
         }
         let name = self.keys[class].name.clone();
         Some(self.place(Kind::Largest, &name))
     }
 
+    /// Whether a job of this size is among such a part of the largest jobs of the
+    /// class at a place, by any reading.
+    #[must_use]
+    pub fn is_large(&self, class: usize, size: Size, part: f64) -> bool {
+        let sizes = self.sizes.get(&class);
+        sizes.is_some_and(|[over, open]| over.is_largest(open, size, part))
+    }
+
     /// All classes and teams, by place.
     #[must_use]
     pub fn keys(&self) -> &[Key] {
--- a/crates/tallygauge-sched/src/begins.rs
+++ b/crates/tallygauge-sched/src/begins.rs
@@ -12,6 +12,10 @@
 use std::collections::BTreeMap;
 use tallygauge_wire::{users::START_COUNTS_S, workers::TaskState};
 
+/// Part of a class's jobs that are large, by one reading: it is to cover the top
+/// tenth of what jobs turn out to be, and estimates are wrong by half.
+const LARGE: f64 = 0.2;
+
 /// Part of the bound after which a large job that has not begun comes first with
 /// one task. The rest is for a room to fall free: tasks run for a minute or two,
 /// and controllers may be down meanwhile.
@@ -65,8 +69,8 @@
             return;
         }
         let near = |j: &&Job| {
-            let largest = self.floor.largest.contains_key(&j.spec.id);
-            largest && !j.fresh.is_empty() && now - j.accepted_at > bound * EARLY
+            let near = !j.fresh.is_empty() && now - j.accepted_at > bound * EARLY;
+            near && self.is_large(j)
         };
         let mut due: Vec<(f64, String)> = self
             .jobs
@@ -100,6 +104,12 @@
         self.begins.jobs = jobs;
     }
 
+    /// Whether a job is one of the large ones of its class.
+    pub(crate) fn is_large(&self, job: &Job) -> bool {
+        let book = &self.floor.book;
+        book.is_large(job.places[0], job.size(), LARGE)
+    }
+
     /// Tasks of a job that have run for long enough to count, and whether a task
     /// of it is on a machine that is heard of.
     fn begun(&self, id: &str, now: f64) -> (Vec<u32>, bool) {
--- a/crates/tallygauge-sched/src/mapping/mod.rs
+++ b/crates/tallygauge-sched/src/mapping/mod.rs
@@ -229,7 +229,7 @@
         {
             let after = now - job.accepted_at;
             let (class, tasks) = (&job.spec.class, job.spec.tasks);
-            let large = if self.floor.largest.contains_key(id) {
+            let large = if self.is_large(job) {
                 ", a large one"
             } else {
                 ""
