Kept records, and where images lie known beyond a term; replicas apart

New: where images lie, as bitmaps of machines by image, so that a successor knows more than the attempts on record tell; a wrong belief is corrected by the report that shows the fetch. Replicas of a service go where the weights lie, against what one machine's or one zone's failure would take (setting weights/replica-risk, seconds of fetch per replica at risk).

--- a/crates/tallygauge-floor/src/book.rs
+++ b/crates/tallygauge-floor/src/book.rs
@@ -108,6 +108,12 @@
     sizes: Vec<(String, Sizes)>,
 }
 
+impl tallygauge_kept::Record for Record {
+    const NAME: &'static str = "floor";
+    const VERSION: u32 = VERSION;
+    const TIMING: tallygauge_kept::Timing = tallygauge_kept::Timing::Behind;
+}
+
 /// Name; done, late, cancelled, stopped; by day, of late.
 type Kept = (String, [u64; 4], Ring, Ring);
 
--- a/crates/tallygauge-sched/examples/overload/day.rs
+++ b/crates/tallygauge-sched/examples/overload/day.rs
@@ -6,7 +6,9 @@
     collections::{BTreeMap, BTreeSet, HashMap},
     time::Instant,
 };
-use tallygauge_sched::{Aim, Batch, Cluster, Config, FloorConfig, RangeSet, Source, TeamConfig};
+use tallygauge_sched::{
+    Aim, Batch, Cluster, Config, FloorConfig, RangeSet, Source, Spread, TeamConfig,
+};
 use tallygauge_wire::{
     cloud::MachineType,
     users::{JobSpec, Priority, Shape},
@@ -214,6 +216,7 @@
             share: setup.share,
             begin_within_s: if setup.share > 0.0 { 240.0 } else { 0.0 },
         },
+        spread: Spread { risk_s: 30.0 },
         tasks_per_worker: 400,
         most_direct: 150,
         term: 1,
--- a/crates/tallygauge-sched/examples/scale.rs
+++ b/crates/tallygauge-sched/examples/scale.rs
@@ -6,7 +6,7 @@
     collections::{BTreeMap, HashMap},
     time::Instant,
 };
-use tallygauge_sched::{Batch, Cluster, Config, FloorConfig, RangeSet, Source, TeamConfig};
+use tallygauge_sched::{Batch, Cluster, Config, FloorConfig, RangeSet, Source, Spread, TeamConfig};
 use tallygauge_wire::{
     cloud::MachineType,
     users::{JobSpec, Priority, Shape},
@@ -40,6 +40,7 @@
             share: 0.65,
             begin_within_s: 240.0,
         },
+        spread: Spread { risk_s: 30.0 },
         tasks_per_worker: 400,
         most_direct: 150,
         term: 1,
--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -9,6 +9,7 @@
     sync::Arc,
 };
 use tallygauge_judge::Departed;
+use tallygauge_weights::Atlas;
 use tallygauge_wire::{cloud::MachineType, users::JobSpec};
 
 /// Machines that went which are remembered, at most.
@@ -88,6 +89,8 @@
     pub(crate) floor: Floor,
     pub(crate) begins: Begins,
     pub(crate) sweep: Sweep,
+    /// What an earlier leader believed of machines that are not known yet.
+    pub(crate) atlas: Atlas,
 }
 
 impl Cluster {
@@ -128,6 +131,7 @@
             floor,
             begins: Begins::default(),
             sweep: Sweep::default(),
+            atlas: Atlas::default(),
         }
     }
 
--- a/crates/tallygauge-sched/src/lib.rs
+++ b/crates/tallygauge-sched/src/lib.rs
@@ -23,6 +23,7 @@
 mod sweep;
 #[cfg(test)]
 mod tests;
+mod weights;
 mod why;
 
 pub use cluster::Cluster;
@@ -38,4 +39,5 @@
 pub use reports::{Source, Verdict};
 pub use tallygauge_floor::{Kind, Record as FloorRecord};
 pub use tallygauge_judge::{Hearing, Mark};
+pub use tallygauge_weights::{Part as ImagesPart, Spread};
 pub use why::{Reason, Why};
--- a/crates/tallygauge-sched/src/machines.rs
+++ b/crates/tallygauge-sched/src/machines.rs
@@ -30,6 +30,10 @@
             .map(Room::of_type)
             .unwrap_or_default();
         let known = self.workers.contains_key(name);
+        let mut images = Images::default();
+        if !known {
+            images.cached = self.atlas.take(name);
+        }
         let worker = self
             .workers
             .entry(name.to_string())
@@ -56,7 +60,7 @@
                 held: Vec::new(),
                 strays: Vec::new(),
                 free,
-                images: Images::default(),
+                images,
                 leaving: None,
                 drained: None,
                 surplus: false,
--- a/crates/tallygauge-sched/src/mapping/rooms.rs
+++ b/crates/tallygauge-sched/src/mapping/rooms.rs
@@ -9,10 +9,14 @@
     rank::Entry,
     round::{Round, Waiting},
 };
-use crate::{floor::Aside, model::*};
+use crate::{
+    floor::Aside,
+    model::*,
+    weights::{apart_in, is_replicated},
+};
 use std::collections::BinaryHeap;
 
-/// A job's spots, best first, by machine type.
+/// A job's spots, best first, by machine type and zone.
 pub(super) struct Finder {
     heaps: Vec<BinaryHeap<Entry>>,
     /// Size from which on machines are left to others.
@@ -110,13 +114,42 @@
         let packing = self
             .c
             .packing(s.worker, t, s.room.cpus, self.largest, spared);
+        let apart = self.beside(at, slot);
         Some(Entry {
-            cost: time + packing,
+            cost: time + packing + apart,
             slot,
             version: s.version,
         })
     }
 
+    /// Seconds that a place costs a replica beside others on the machine.
+    fn beside(&self, at: usize, slot: usize) -> f64 {
+        let entrant = &self.entrants[at];
+        if !is_replicated(entrant.job) {
+            return 0.0;
+        }
+        let id = entrant.job.spec.id.as_str();
+        let held = self.slots[slot].worker.held.iter();
+        let there = held.filter(|h| h.occupies() && h.spec.id == id).count();
+        let placed = entrant.beside.get(&slot).copied().unwrap_or(0);
+        self.c.cfg.spread.risk_s * (there as f64 + f64::from(placed))
+    }
+
+    /// Seconds that a place in a zone costs a replica beside others there.
+    fn beside_in(&self, at: usize, of_zone: usize) -> f64 {
+        let entrant = &self.entrants[at];
+        if !is_replicated(entrant.job) || entrant.job.spec.one_zone {
+            return 0.0;
+        }
+        let zones = entrant.zones.as_ref().unwrap_or(&entrant.job.zones);
+        let count = match entrant.job.spec.zone {
+            Some(_) => 1,
+            None => self.sites.len() as u32,
+        };
+        let place = apart_in(zones, self.sites[of_zone], count);
+        self.c.cfg.spread.zone_cost_s(place)
+    }
+
     /// Whether it is known already that no machine has room for a task of the
     /// job: rooms only shrink within a round.
     fn known_full(&self, at: usize) -> bool {
@@ -153,11 +186,11 @@
             return None;
         }
         let mut finder = self.entrants[at].finder.take().unwrap_or_else(|| {
-            let mut heaps = vec![Vec::new(); self.types.len()];
+            let mut heaps = vec![Vec::new(); self.types.len() * self.sites.len()];
             let spared = self.spared(group.job);
             for slot in 0..self.slots.len() {
                 if let Some(entry) = self.entry(at, slot, spared) {
-                    heaps[self.slots[slot].of_type].push(entry);
+                    heaps[self.heap_of(slot)].push(entry);
                 }
             }
             Finder {
@@ -168,7 +201,7 @@
         });
         for &slot in &self.log[finder.seen..] {
             if let Some(entry) = self.entry(at, slot, finder.spared) {
-                finder.heaps[self.slots[slot].of_type].push(entry);
+                finder.heaps[self.heap_of(slot)].push(entry);
             }
         }
         finder.seen = self.log.len();
@@ -187,12 +220,19 @@
         Some((best.slot, worth / time))
     }
 
+    /// The heap that a slot belongs to.
+    fn heap_of(&self, slot: usize) -> usize {
+        let s = &self.slots[slot];
+        s.of_type * self.sites.len() + s.of_zone
+    }
+
     fn best_of(&self, finder: &mut Finder, at: usize, group: &Group<'a>) -> Option<Entry> {
         let whole = self.remaining(at, 0.0);
         let mut best: Option<Entry> = None;
-        for (of_type, heap) in finder.heaps.iter_mut().enumerate() {
+        for (n, heap) in finder.heaps.iter_mut().enumerate() {
+            let (of_type, of_zone) = (n / self.sites.len(), n % self.sites.len());
             let saved = group.saved_on(&self.types[of_type].name);
-            let less = whole - self.remaining(at, saved);
+            let less = whole - self.remaining(at, saved) - self.beside_in(at, of_zone);
             let mut aside = None;
             while let Some(&head) = heap.peek() {
                 let s = &self.slots[head.slot];
--- a/crates/tallygauge-sched/src/mapping/round.rs
+++ b/crates/tallygauge-sched/src/mapping/round.rs
@@ -10,6 +10,7 @@
     cluster::{Cluster, Ledger},
     floor::{Aside, Seat},
     model::*,
+    weights::is_replicated,
 };
 use std::{
     borrow::Cow,
@@ -74,6 +75,8 @@
     pub(super) finder: Option<Finder>,
     /// Where its tasks are, if that matters and it has starts.
     pub(super) zones: Option<BTreeMap<String, u32>>,
+    /// Replicas placed in this round, by slot.
+    pub(super) beside: BTreeMap<usize, u32>,
     /// Tasks taken from its waiting ones.
     pub(super) taken: usize,
     /// Tasks placed with something of their own.
@@ -86,6 +89,7 @@
 pub(super) struct Slot<'a> {
     pub(super) worker: &'a Worker,
     pub(super) of_type: usize,
+    pub(super) of_zone: usize,
     pub(super) room: Room,
     /// The room there will be when all stops are confirmed.
     pub(super) soon: Room,
@@ -111,6 +115,8 @@
     pub(super) c: &'a Cluster,
     pub(super) now: f64,
     pub(super) types: Vec<&'a MachineType>,
+    /// Zones of usable machines.
+    pub(super) sites: Vec<&'a str>,
     pub(super) largest: f64,
     pub(super) contended: f64,
     /// Jobs with tasks that wait.
@@ -163,11 +169,15 @@
         let mut types: Vec<&MachineType> = c.types.values().collect();
         types.sort_by(|a, b| a.name.cmp(&b.name));
         let mut slots = Vec::with_capacity(c.workers.len());
+        let usable = c.workers.values().filter(|w| w.usable(now, &c.cfg));
+        let sites: BTreeSet<&str> = usable.map(|w| w.zone.as_str()).collect();
+        let sites: Vec<&str> = sites.into_iter().collect();
         let mut leaving = vec![Ledger::default(); c.cfg.teams.len()];
         let mut making = BTreeSet::new();
         for worker in c.workers.values().filter(|w| w.usable(now, &c.cfg)) {
             let named = types.binary_search_by(|t| t.name.as_str().cmp(&worker.machine_type));
             let Ok(of_type) = named else { continue };
+            let of_zone = sites.binary_search(&worker.zone.as_str()).unwrap_or(0);
             let mut soon = worker.free;
             let stopping = |h: &&Held| h.stop.is_some() && h.occupies();
             for held in worker.held.iter().filter(stopping) {
@@ -180,6 +190,7 @@
             slots.push(Slot {
                 worker,
                 of_type,
+                of_zone,
                 room: worker.free,
                 soon,
                 tasks: worker.held.len(),
@@ -217,6 +228,7 @@
                     whole_s: c.whole(&job.spec),
                     finder: None,
                     zones: None,
+                    beside: BTreeMap::new(),
                     taken: 0,
                     resumed: 0,
                     asked: false,
@@ -233,6 +245,7 @@
             largest: types.iter().map(|t| t.cpus).fold(1.0, f64::max),
             contended,
             types,
+            sites,
             entrants,
             slots,
             log: Vec::new(),
@@ -488,7 +501,10 @@
                 self.first_left -= job.spec.cpus;
             }
         }
-        if job.spec.one_zone || job.spec.spread {
+        if is_replicated(job) {
+            *entrant.beside.entry(slot).or_default() += 1;
+        }
+        if job.spec.one_zone || job.spec.spread || is_replicated(job) {
             let zones = entrant.zones.get_or_insert_with(|| job.zones.clone());
             *zones.entry(s.worker.zone.clone()).or_default() += 1;
         }
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -7,6 +7,7 @@
     sync::Arc,
 };
 use tallygauge_judge::{Hearing, Limits, Order};
+use tallygauge_weights::Spread;
 use tallygauge_wire::{
     cloud::MachineType,
     users::{JobSpec, Priority, Shape},
@@ -61,6 +62,8 @@
     pub aims: HashMap<String, Aim>,
     /// The floor.
     pub floor: FloorConfig,
+    /// Replicas at risk against seconds of fetch.
+    pub spread: Spread,
     /// Most tasks on one machine, so that its record fits the state service.
     pub tasks_per_worker: usize,
     /// Most direct messages under way at a time.
@@ -628,6 +631,14 @@
         self.touch(&spec.image, spec.image_gb, t.cache_gb);
     }
 
+    /// A task waits for an image: if it was believed to be there, it is fetched
+    /// all the same, and there at that time at the earliest.
+    pub(crate) fn lacks(&mut self, image: &str, at: f64) {
+        if !self.fetching.contains_key(image) {
+            self.fetching.insert(image.to_string(), at);
+        }
+    }
+
     /// A fetch that no task waits for any more is given up.
     pub(crate) fn drop_fetch(&mut self, image: &str, held: &[Held]) {
         let wanted = held.iter().any(|h| h.occupies() && h.spec.image == image);
--- a/crates/tallygauge-sched/src/reports.rs
+++ b/crates/tallygauge-sched/src/reports.rs
@@ -351,10 +351,9 @@
                 }
             }
         };
-        let cache = self
-            .types
-            .get(self.workers[name].machine_type.as_str())
-            .map_or(0.0, |t| t.cache_gb);
+        let of_type = self.types.get(self.workers[name].machine_type.as_str());
+        let cache = of_type.map_or(0.0, |t| t.cache_gb);
+        let rate = of_type.map_or(f64::MAX, |t| t.fetch_gb_per_s.max(1e-3));
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -366,6 +365,11 @@
         }
         if !ended {
             held.phase = Phase::On(task.state);
+            // What was believed to lie there does not.
+            if task.state == TaskState::Fetching {
+                let (image, gb) = (&held.spec.image, held.spec.image_gb);
+                worker.images.lacks(image, now + gb / rate);
+            }
             if matches!(task.state, TaskState::Running | TaskState::Saving)
                 && held.running_since.is_none()
             {
--- a/crates/tallygauge-sched/src/tests/mod.rs
+++ b/crates/tallygauge-sched/src/tests/mod.rs
@@ -5,6 +5,7 @@
 mod floor;
 mod judging;
 mod sweep;
+mod weights;
 
 use crate::{mapping::Group, *};
 use proptest::prelude::*;
@@ -44,6 +45,7 @@
             share: 0.65,
             begin_within_s: 240.0,
         },
+        spread: Spread { risk_s: 30.0 },
         tasks_per_worker: 50,
         most_direct: 100,
         term: TERM,
--- /dev/null
+++ b/crates/tallygauge-sched/src/weights.rs
@@ -0,0 +1,53 @@
+//! Where images lie, left to the next leader and taken up from the one before,
+//! and where replicas of a service go.
+
+use crate::{cluster::Cluster, model::*};
+use tallygauge_weights::{Apart, Atlas, Holding, Part};
+use tallygauge_wire::users::Shape;
+
+impl Cluster {
+    /// Takes up what an earlier leader believed of where images lie. To be called
+    /// before machines are known. Returns how many images could not be read.
+    pub fn believe(&mut self, part: &Part) -> usize {
+        self.atlas.load(part)
+    }
+
+    /// What is believed now, for the next leader: at most so many parts of so
+    /// many bytes, without images that a machine fetches in less than `least_s`.
+    #[must_use]
+    pub fn beliefs(&self, least_s: f64, bytes: usize, most: usize) -> Vec<Part> {
+        let mut holdings = Vec::new();
+        for worker in self.workers.values().filter(|w| w.leaving.is_none()) {
+            let rate = self.types.get(&worker.machine_type);
+            let rate = rate.map_or(1.0, |t| t.fetch_gb_per_s).max(1e-3);
+            let there = worker.images.cached.iter();
+            let there = there.filter(|i| !worker.images.fetching.contains_key(&i.0));
+            holdings.extend(there.map(|(image, gb)| Holding {
+                machine: &worker.name,
+                image,
+                gb: *gb,
+                fetch_s: gb / rate,
+            }));
+        }
+        Atlas::parts(&holdings, least_s, bytes, most)
+    }
+}
+
+/// Whether replicas of a job are to survive failures together.
+pub(crate) fn is_replicated(job: &Job) -> bool {
+    job.spec.shape == Shape::Service && job.spec.tasks > 1
+}
+
+/// What a further replica of a job would share with others in a zone.
+pub(crate) fn apart_in(
+    zones: &std::collections::BTreeMap<String, u32>,
+    zone: &str,
+    count: u32,
+) -> Apart {
+    Apart {
+        on_machine: 0,
+        in_zone: zones.get(zone).copied().unwrap_or(0),
+        running: zones.values().sum(),
+        zones: count,
+    }
+}
--- /dev/null
+++ b/crates/tallygauge-weights/src/atlas.rs
@@ -0,0 +1,239 @@
+//! Which machines hold which images, as a leader leaves it to its successor.
+
+use data_encoding::BASE64_NOPAD;
+use roaring::RoaringBitmap;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+use tallygauge_kept::{Record, Timing};
+
+/// An image on a machine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Holding<'a> {
+    /// The machine.
+    pub machine: &'a str,
+    /// The image.
+    pub image: &'a str,
+    /// Its size, GB.
+    pub gb: f64,
+    /// Seconds that its fetch would take there.
+    pub fetch_s: f64,
+}
+
+/// One part of an atlas: images with the numbers of the machines that hold them.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Part {
+    /// What machines' names begin with, before their numbers, and how many
+    /// digits those have.
+    #[serde(rename = "n")]
+    names: (String, usize),
+    /// Name, size in GB, machines: a bitmap in base 64.
+    #[serde(rename = "i")]
+    images: Vec<(String, f64, String)>,
+}
+
+impl Record for Part {
+    const NAME: &'static str = "images";
+    const VERSION: u32 = 1;
+    const TIMING: Timing = Timing::Behind;
+}
+
+/// Bytes around an image's entry, at most.
+const ENTRY_BYTES: usize = 40;
+
+/// Bytes around a part.
+const PART_BYTES: usize = 80;
+
+/// Which machines hold which images: a belief, not a fact.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Atlas {
+    by_machine: BTreeMap<String, Vec<(String, f64)>>,
+}
+
+/// A machine's name as what it begins with and its number.
+fn split(name: &str) -> Option<(&str, usize, u32)> {
+    let digits = name.bytes().rev().take_while(u8::is_ascii_digit).count();
+    let (prefix, number) = name.split_at(name.len() - digits);
+    Some((prefix, digits, number.parse().ok()?))
+}
+
+impl Atlas {
+    /// Parts of at most so many bytes each, as many as there may be, for what is
+    /// held now: of machines with the most usual names, images first whose fetch
+    /// costs most for each byte that it takes to remember; none whose fetch takes
+    /// less than `least_s`.
+    #[must_use]
+    pub fn parts(holdings: &[Holding], least_s: f64, bytes: usize, most: usize) -> Vec<Part> {
+        let mut shapes: HashMap<(&str, usize), usize> = HashMap::new();
+        for holding in holdings {
+            if let Some((prefix, digits, _)) = split(holding.machine) {
+                *shapes.entry((prefix, digits)).or_default() += 1;
+            }
+        }
+        let usual = shapes
+            .into_iter()
+            .max_by(|a, b| a.1.cmp(&b.1).then(b.0.cmp(&a.0)));
+        let Some(((prefix, digits), _)) = usual else {
+            return Vec::new();
+        };
+        let mut images: BTreeMap<&str, (f64, f64, RoaringBitmap)> = BTreeMap::new();
+        for holding in holdings.iter().filter(|h| h.fetch_s >= least_s) {
+            let Some((p, d, number)) = split(holding.machine) else {
+                continue;
+            };
+            if (p, d) == (prefix, digits) {
+                let image = images.entry(holding.image).or_default();
+                image.0 = holding.gb;
+                image.1 += holding.fetch_s;
+                image.2.insert(number);
+            }
+        }
+        let mut entries: Vec<(f64, (String, f64, String))> = images
+            .into_iter()
+            .filter_map(|(name, (gb, worth, mut machines))| {
+                machines.optimize();
+                let mut raw = Vec::with_capacity(machines.serialized_size());
+                machines.serialize_into(&mut raw).ok()?;
+                let entry = (name.to_string(), gb, BASE64_NOPAD.encode(&raw));
+                Some((worth / entry_bytes(&entry) as f64, entry))
+            })
+            .collect();
+        entries.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.0.cmp(&b.1.0)));
+        let names = (prefix.to_string(), digits);
+        let room = bytes.saturating_sub(PART_BYTES + prefix.len() * 6);
+        let mut parts: Vec<(usize, Part)> = Vec::new();
+        for (_, entry) in entries {
+            let need = entry_bytes(&entry);
+            if need > room {
+                continue;
+            }
+            let open = parts.iter().position(|(used, _)| used + need <= room);
+            let at = match open {
+                Some(at) => at,
+                None if parts.len() < most => {
+                    let names = names.clone();
+                    let images = Vec::new();
+                    parts.push((0, Part { names, images }));
+                    parts.len() - 1
+                }
+                None => continue,
+            };
+            parts[at].0 += need;
+            parts[at].1.images.push(entry);
+        }
+        // Equal beliefs are equal records, whatever they were worth.
+        for (_, part) in &mut parts {
+            part.images.sort_by(|a, b| a.0.cmp(&b.0));
+        }
+        parts.into_iter().map(|p| p.1).collect()
+    }
+
+    /// Takes up a part that an earlier leader left. What can't be read of it is
+    /// left out; returns how many images that were.
+    pub fn load(&mut self, part: &Part) -> usize {
+        let (prefix, digits) = &part.names;
+        let mut torn = 0;
+        for (image, gb, machines) in &part.images {
+            let raw = BASE64_NOPAD.decode(machines.as_bytes()).ok();
+            let machines = raw.and_then(|raw| RoaringBitmap::deserialize_from(&raw[..]).ok());
+            let Some(machines) = machines.filter(|_| gb.is_finite() && *gb >= 0.0 && *digits < 20)
+            else {
+                torn += 1;
+                continue;
+            };
+            for number in &machines {
+                let name = format!("{prefix}{number:0digits$}", digits = *digits);
+                let images = self.by_machine.entry(name).or_default();
+                if !images.iter().any(|i| i.0 == *image) {
+                    images.push((image.clone(), *gb));
+                }
+            }
+        }
+        torn
+    }
+
+    /// What a machine is believed to hold; it is not asked for again.
+    pub fn take(&mut self, machine: &str) -> Vec<(String, f64)> {
+        self.by_machine.remove(machine).unwrap_or_default()
+    }
+
+    /// Machines of which something is believed.
+    #[must_use]
+    pub fn machines(&self) -> usize {
+        self.by_machine.len()
+    }
+}
+
+fn entry_bytes(entry: &(String, f64, String)) -> usize {
+    entry.0.len() * 6 + entry.2.len() + ENTRY_BYTES
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::collections::BTreeSet;
+
+    fn names(count: u32) -> Vec<String> {
+        (0..count).map(|n| format!("host-{n:06}")).collect()
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 64, rng_seed: proptest::test_runner::RngSeed::Fixed(29), failure_persistence: None, ..ProptestConfig::default() })]
+        #[test]
+        fn what_is_left_is_what_the_successor_believes(
+            held in prop::collection::btree_set((0u32..200, 0u8..20), 0..400), bytes in 400usize..8000, most in 1usize..5,
+        ) {
+            let names = names(200);
+            let images: Vec<String> = (0..20).map(|n| format!("img-{n}")).collect();
+            let holdings: Vec<Holding> = held.iter().map(|(m, i)| Holding {
+                machine: &names[*m as usize], image: &images[usize::from(*i)],
+                gb: f64::from(*i) + 0.5, fetch_s: f64::from(*i) * 2.0,
+            }).collect();
+            let parts = Atlas::parts(&holdings, 5.0, bytes, most);
+            prop_assert!(parts.len() <= most);
+            let mut atlas = Atlas::default();
+            for part in &parts {
+                let text = serde_json::to_string(part).unwrap();
+                prop_assert!(text.len() <= bytes, "{} of {}", text.len(), bytes);
+                prop_assert_eq!(atlas.load(&serde_json::from_str(&text).unwrap()), 0);
+            }
+            let mut believed = BTreeSet::new();
+            for (n, name) in names.iter().enumerate() {
+                for (image, gb) in atlas.take(name) {
+                    let i: u8 = image[4..].parse().unwrap();
+                    prop_assert_eq!(gb, f64::from(i) + 0.5);
+                    believed.insert((n as u32, i));
+                }
+            }
+            // Nothing is made up, whole images are left out at most, and with
+            // room enough only those not worth it are.
+            prop_assert!(believed.is_subset(&held));
+            for i in 0..20u8 {
+                let all: Vec<_> = held.iter().filter(|h| h.1 == i).collect();
+                let some = believed.iter().filter(|h| h.1 == i).count();
+                prop_assert!(some == 0 || some == all.len());
+                if bytes * most > 20_000 { prop_assert_eq!(some == all.len() || all.is_empty(), i > 2 || all.is_empty()); }
+            }
+        }
+    }
+
+    #[test]
+    fn torn_parts_and_odd_names_are_passed_over() {
+        let holdings = ["host-7", "host-8", "odd", "rack-1"].map(|machine| Holding {
+            machine,
+            image: "llm",
+            gb: 60.0,
+            fetch_s: 120.0,
+        });
+        let mut parts = Atlas::parts(&holdings, 1.0, 4000, 2);
+        assert_eq!(parts.len(), 1);
+        let mut atlas = Atlas::default();
+        assert_eq!(atlas.load(&parts[0]), 0);
+        assert_eq!(atlas.machines(), 2, "those with the usual names");
+        parts[0].images[0].2 = "AAAA".into();
+        parts[0].images.push(("x".into(), f64::NAN, String::new()));
+        let mut atlas = Atlas::default();
+        assert_eq!((atlas.load(&parts[0]), atlas.machines()), (2, 0));
+        assert!(Atlas::parts(&[], 1.0, 4000, 2).is_empty());
+    }
+}
--- /dev/null
+++ b/crates/tallygauge/src/kept.rs
@@ -0,0 +1,170 @@
+//! Records that a leader keeps beside the jobs, at the state service: read once
+//! when a term begins, written now and then, many in one change.
+
+use crate::{control::record_bytes, node::Node};
+use serde_json::Value;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use tallygauge_kept::{Found, Parcel, Record, Shelf, read};
+use tallygauge_state::{Class, Error, Outcome};
+use tallygauge_wire::state::{Guard, Transaction, Write};
+
+/// What the keys of kept records begin with.
+const PREFIX: &str = "s/";
+
+/// Report intervals between two looks at what has changed.
+const LOOK_EVERY: f64 = 4.0;
+
+/// Parts that the beliefs of where images lie may have.
+const IMAGE_PARTS: usize = 4;
+
+/// Records as they were found when the term began, by name, with the versions
+/// of their keys.
+#[derive(Debug, Default, Clone)]
+pub struct Kept {
+    found: BTreeMap<String, (Value, u64)>,
+}
+
+impl Kept {
+    /// Takes up one record; what can't be read is said once.
+    #[must_use]
+    pub fn take<T: Record>(&self, part: Option<usize>) -> Option<T> {
+        let name = match part {
+            None => T::NAME.to_string(),
+            Some(part) => format!("{}/{part}", T::NAME),
+        };
+        let found: Found<T> = read(self.found.get(&name).map(|f| f.0.clone()));
+        if let Some(why) = found.complaint() {
+            tracing::warn!(
+                record = name,
+                why,
+                "a kept record is passed over and rebuilt"
+            );
+        }
+        found.value()
+    }
+
+    /// Takes up all parts of a record.
+    #[must_use]
+    pub fn parts<T: Record>(&self) -> Vec<T> {
+        (0..IMAGE_PARTS)
+            .filter_map(|part| self.take(Some(part)))
+            .collect()
+    }
+}
+
+/// Reads what earlier leaders kept. It may be missing: never a reason not to
+/// lead.
+pub async fn load(node: &Node) -> Kept {
+    let mut kept = Kept::default();
+    if let Ok((rows, _)) = node.state.list(Class::Leadership, PREFIX).await {
+        for row in rows {
+            if let Some(name) = row.key.strip_prefix(PREFIX) {
+                kept.found
+                    .insert(name.to_string(), (row.value, row.version));
+            }
+        }
+    }
+    kept
+}
+
+/// Keeps records at the state service, as long as this node leads. What isn't
+/// written for want of budget is written later.
+pub async fn run(node: &Arc<Node>, term_guard: Guard, kept: Kept) {
+    let report = node.settings.deployment.workers.report_s;
+    let pause = Duration::from_secs_f64(report * LOOK_EVERY);
+    let bytes = record_bytes(node);
+    let mut shelf = Shelf::new(bytes);
+    let mut versions: BTreeMap<String, u64> = kept
+        .found
+        .iter()
+        .map(|(name, f)| (name.clone(), f.1))
+        .collect();
+    let mut shown = node.now();
+    loop {
+        tokio::time::sleep(pause).await;
+        collect(node, &mut shelf, bytes);
+        let most = node.settings.deployment.state.txn_ops / 2;
+        if let Some(parcel) = shelf.parcel(most, bytes, false) {
+            write(node, &term_guard, &mut shelf, &mut versions, &parcel).await;
+        }
+        let now = node.now();
+        if now - shown > report * LOOK_EVERY * 4.0 {
+            shown = now;
+            let records: Vec<String> = shelf
+                .shown(now)
+                .iter()
+                .map(|s| match s.age_s {
+                    Some(age_s) => format!("{}:{}B/{age_s:.0}s", s.name, s.bytes),
+                    None => format!("{}:{}B/never", s.name, s.bytes),
+                })
+                .collect();
+            tracing::debug!(records = records.join(" "), "kept");
+        }
+    }
+}
+
+/// Puts the records on the shelf as they should be now.
+fn collect(node: &Node, shelf: &mut Shelf, bytes: usize) {
+    let at = Node::time_of_day();
+    // What the keeper adds to a record.
+    let room = bytes.saturating_sub(64);
+    let least_s = node.tuning.weights.remember_from;
+    let Some((floor, images)) = node.with_cluster(|c| {
+        let images = c.beliefs(least_s, room, IMAGE_PARTS);
+        (c.floor_record(room), images)
+    }) else {
+        return;
+    };
+    let mut complaints = vec![shelf.put(None, &floor, at)];
+    for (part, record) in images.iter().enumerate() {
+        complaints.push(shelf.put(Some(part), record, at));
+    }
+    for why in complaints.into_iter().filter_map(Result::err) {
+        tracing::warn!(why, "a record can't be kept");
+    }
+}
+
+/// Writes a parcel in one change, on condition of the term and of each record
+/// being as it was last written: a late write must not land on a newer one.
+async fn write(
+    node: &Node,
+    term_guard: &Guard,
+    shelf: &mut Shelf,
+    versions: &mut BTreeMap<String, u64>,
+    parcel: &Parcel,
+) {
+    let mut txn = Transaction {
+        guards: vec![term_guard.clone()],
+        writes: Vec::new(),
+    };
+    for item in &parcel.items {
+        let key = format!("{PREFIX}{}", item.name);
+        txn.guards.push(Guard {
+            key: key.clone(),
+            version: versions.get(&item.name).copied().unwrap_or(0),
+        });
+        txn.writes.push(Write::Set {
+            key,
+            value: item.value.clone(),
+            lease: None,
+        });
+    }
+    match node.state.transact(Class::Upkeep, &txn).await {
+        Ok(Outcome::Made(revision)) => {
+            for item in &parcel.items {
+                versions.insert(item.name.clone(), revision);
+            }
+            shelf.written(parcel, node.now());
+        }
+        // An unanswered write may have been made: what is there is read again.
+        Ok(Outcome::Conflict(_)) | Err(Error::Unknown) => {
+            if let Ok((rows, _)) = node.state.list(Class::Upkeep, PREFIX).await {
+                *versions = rows
+                    .into_iter()
+                    .filter_map(|r| Some((r.key.strip_prefix(PREFIX)?.to_string(), r.version)))
+                    .collect();
+            }
+        }
+        Ok(Outcome::NoLease) | Err(Error::Refused) => {}
+    }
+}
--- a/crates/tallygauge/src/leader.rs
+++ b/crates/tallygauge/src/leader.rs
@@ -1,7 +1,7 @@
 //! Leadership: winning a term, keeping it, and loading the picture.
 
 use crate::{
-    cloud, control, floor,
+    cloud, control, kept,
     node::{LEADER_KEY, Lead, Node, TERM_KEY},
     sweep,
     users::{self, OpenRecord},
@@ -9,7 +9,7 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::{collections::HashMap, sync::Arc, time::Duration};
-use tallygauge_sched::{BatchRecord, Cluster, PageRecord, RangeSet};
+use tallygauge_sched::{BatchRecord, Cluster, ImagesPart, PageRecord, RangeSet};
 use tallygauge_state::{Class, Error, Outcome, Watched};
 use tallygauge_wire::state::{Change, Guard, Transaction, Write};
 
@@ -252,9 +252,9 @@
 }
 
 async fn work(node: &Arc<Node>, term: u64, guard: Guard) {
-    let revision = loop {
+    let (revision, kept) = loop {
         match load(node, term).await {
-            Ok(revision) => break revision,
+            Ok(loaded) => break loaded,
             Err(error) => {
                 tracing::warn!(%error, "can't load the picture yet");
                 tokio::time::sleep(node.term_ttl() / 8).await;
@@ -267,7 +267,7 @@
         watch_jobs(node, revision),
         control::run(node, guard.clone()),
         control::finish(node, guard.clone()),
-        floor::keep(node, guard),
+        kept::run(node, guard, kept),
         sweep::run(node),
         cloud::run(node, term),
     );
@@ -282,14 +282,14 @@
 }
 
 /// Reads jobs, finished tasks and placements into a picture. Returns the
-/// revision from which jobs must be watched.
-async fn load(node: &Node, term: u64) -> Result<u64, Error> {
+/// revision from which jobs must be watched, and the kept records as found.
+async fn load(node: &Node, term: u64) -> Result<(u64, kept::Kept), Error> {
     let class = Class::Leadership;
     let (open, revision) = node.state.list(class, "o/").await?;
     users::learn_open(node, open.iter().map(|r| (r.key.as_str(), r.version)));
     let (pages, _) = node.state.list(class, "f/").await?;
     let batches = node.state.list(class, "p/");
-    let (batches, kept) = tokio::join!(batches, floor::read(node));
+    let (batches, kept) = tokio::join!(batches, kept::load(node));
     let (batches, _) = batches?;
     let now = node.now();
     let time_of_day = Node::time_of_day();
@@ -299,8 +299,11 @@
         cluster.set_types(&types);
     }
     cluster.set_time_of_day(now, time_of_day);
-    if let Some(kept) = kept {
-        cluster.load_floor(kept);
+    if let Some(floor) = kept.take(None) {
+        cluster.load_floor(floor);
+    }
+    for part in kept.parts::<ImagesPart>() {
+        cluster.believe(&part);
     }
     let mut done: HashMap<String, RangeSet> = HashMap::new();
     for row in pages {
@@ -336,7 +339,7 @@
         lead.followed = revision;
     }
     tracing::info!(term, jobs, machines, "picture loaded");
-    Ok(revision)
+    Ok((revision, kept))
 }
 
 /// Follows submissions and cancellations made through any node.
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cloud;
 pub mod control;
 pub mod floor;
+pub mod kept;
 pub mod leader;
 pub mod node;
 pub mod peers;
--- a/crates/tallygauge/src/node.rs
+++ b/crates/tallygauge/src/node.rs
@@ -6,7 +6,7 @@
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
-use tallygauge_sched::{Cluster, Config, FloorConfig};
+use tallygauge_sched::{Cluster, Config, FloorConfig, Spread};
 use tallygauge_state::{Budget, Class, Client, http::Http};
 use tallygauge_wire::{cloud::MachineType, state::Guard, users::JobStatus};
 use tokio::{
@@ -509,6 +509,9 @@
                 share: t.floor.share,
                 begin_within_s: t.floor.begin_within,
             },
+            spread: Spread {
+                risk_s: t.weights.replica_risk,
+            },
             // A report must fit a request's body.
             tasks_per_worker: tallygauge_wire::BODY_LIMIT / TASK_REPORT_BYTES,
             most_direct: self.most_direct(),
--- a/crates/tallygauge/src/tuning.rs
+++ b/crates/tallygauge/src/tuning.rs
@@ -23,6 +23,29 @@
     pub rent_horizon: f64,
     /// The floor under what each class and each team gets.
     pub floor: Floor,
+    /// Where models' weights and other images lie, and where replicas go.
+    pub weights: Weights,
+}
+
+/// Where models' weights and other images lie, and where replicas go.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Weights {
+    /// Seconds of fetch that a replica is worth which one failure would take
+    /// along with others.
+    pub replica_risk: f64,
+    /// Seconds of fetch from which on it is remembered, beyond this leader's
+    /// term, where an image lies.
+    pub remember_from: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self {
+            replica_risk: 30.0,
+            remember_from: 1.0,
+        }
+    }
 }
 
 /// The floor under what each class of jobs and each team gets.
@@ -81,6 +104,7 @@
             idle_wait: 1.5,
             rent_horizon: 1.0,
             floor: Floor::default(),
+            weights: Weights::default(),
         }
     }
 }
@@ -131,6 +155,14 @@
                 "floor/begin-within must be 0 or more, not {within}"
             ));
         }
+        for (name, value) in [
+            ("weights/replica-risk", tuning.weights.replica_risk),
+            ("weights/remember-from", tuning.weights.remember_from),
+        ] {
+            if !value.is_finite() || value < 0.0 {
+                return Err(format!("{name} must be 0 or more, not {value}"));
+            }
+        }
         let w = &tuning.worth;
         if w.low > w.normal || w.normal > w.high || w.high > w.production {
             return Err("worth must not fall from low to production".into());
@@ -161,6 +193,7 @@
             "<tallygauge><late-worth>2</late-worth></tallygauge>",
             "<tallygauge><floor><share>1.5</share></floor></tallygauge>",
             "<tallygauge><floor><begin-within>-1</begin-within></floor></tallygauge>",
+            "<tallygauge><weights><replica-risk>-1</replica-risk></weights></tallygauge>",
             "<tallygauge><worth><high>1</high></worth></tallygauge>",
         ] {
             assert!(Tuning::parse(bad).is_err(), "{bad} was taken");
