--- a/crates/tallygauge-sched/src/machines.rs
+++ b/crates/tallygauge-sched/src/machines.rs
@@ -49,6 +49,7 @@
                 order: Order::default(),
                 token: 0,
                 hearing: Hearing::default(),
+                steady_since: f64::INFINITY,
                 owes: false,
                 session_at: now,
                 booted_at: None,
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -517,6 +517,8 @@
     pub token: u64,
     /// Whether what is sent to it reaches it.
     pub hearing: Hearing,
+    /// Since when it has been heard without a pause of some report intervals.
+    pub steady_since: f64,
     /// The answer to its last check-in carried something that the next one must
     /// show: our token, or what is `carried`.
     pub owes: bool,
--- a/crates/tallygauge-sched/src/reports.rs
+++ b/crates/tallygauge-sched/src/reports.rs
@@ -85,6 +85,11 @@
             return Verdict::Dead;
         }
         worker.token = worker.token.max(report.token);
+        // What was held back on the way comes all at once, and shows nothing of
+        // how its worker heard us.
+        if now - worker.heard_at > self.cfg.report_s * 2.5 {
+            worker.steady_since = now;
+        }
         self.weigh(now, report, source);
         let Some(worker) = self.workers.get_mut(&report.machine) else {
             return Verdict::Stale;
@@ -196,7 +201,8 @@
             // Answered all the time, its session lasts for a lease from the last
             // answer; a few of them may have been lost.
             let sure = renewed + cfg.lease_s - cfg.report_s * 2.5 - cfg.margin_s();
-            sign = (now < sure).then_some(Sign::SessionOver);
+            let steady = now - worker.steady_since > cfg.report_s * 3.0;
+            sign = (now < sure && steady).then_some(Sign::SessionOver);
         } else if worker.owes {
             let shown = |h: &Held| {
                 let there = |t: &&TaskReport| t.attempt == h.attempt && h.is_called(&t.task);
--- a/crates/tallygauge-sched/src/tests/judging.rs
+++ b/crates/tallygauge-sched/src/tests/judging.rs
@@ -152,6 +152,34 @@
     assert_eq!(round(&mut c, now).len(), 2);
 }
 
+// When a cut ends, what was held back comes at once: old reports are answered,
+// and a moment later the same machine shows its next session. Taken for a sign,
+// that kept a hundred machines without work for as long as it took to ask them.
+#[test]
+fn reports_that_were_held_back_are_no_sign() {
+    let mut c = cluster(&["sa"], 100.0);
+    let mut real = Real::new(100.0);
+    for step in 0..10 {
+        turn(
+            &mut c,
+            &mut real,
+            "sa",
+            false,
+            102.0 + f64::from(step) * 2.0,
+        );
+    }
+    let held: Vec<Report> = (0..4).map(|_| real.report("sa")).collect();
+    for (n, told) in (0..).zip(&held) {
+        let now = 180.0 + f64::from(n) * 0.01;
+        c.on_report(now, told, Source::CheckIn);
+        c.answered("sa", &[], now);
+    }
+    real.session = 3;
+    c.on_report(180.1, &real.report("sa"), Source::CheckIn);
+    assert!(!c.workers["sa"].hearing.in_question());
+    assert!(c.workers["sa"].usable(180.1, &c.cfg));
+}
+
 // Deaf machines are not counted on: what waits is rented for elsewhere.
 #[test]
 fn work_does_not_wait_for_the_room_of_a_deaf_machine() {
--- a/crates/tallygauge-sched/src/tests/weights.rs
+++ b/crates/tallygauge-sched/src/tests/weights.rs
@@ -55,11 +55,7 @@
     // A wrong belief costs seconds: the report that shows the fetch corrects it.
     let attempt = start_of(&c, "l-3", 200.0)[0].1;
     let fetching = vec![task("req-1/0", attempt, TaskState::Fetching, None)];
-    c.on_report(
-        201.0,
-        &report("l-3", 1, 9, TERM, fetching),
-        Source::CheckIn,
-    );
+    c.on_report(201.0, &report("l-3", 1, 9, TERM, fetching), Source::CheckIn);
     let images = &c.workers["l-3"].images;
     assert!(images.fetch_s("llm", 18.0, 0.3, 201.0) > 50.0);
     let beliefs = c.beliefs(1.0, 2000, 2);
