Cutoffs and ranks on record, known to every leader; stand-ins become a package

The trade: a calendar of cutoffs in civil time (declared in the operators' XML, else drawn from deadlines), its counts and results on record; work whose cutoff is at risk rises within the step of its urgency. A ledger of ranks, declared with versions, ahead: in force when it is on record, by epochs, so that any leader works out alike which rank a job was accepted with; an older file sets nothing back. Neither says who may be stopped. Off without settings: nothing is declared, drawn cutoffs are shown and raise nothing.

--- a/crates/tallygauge-kept/src/shelf.rs
+++ b/crates/tallygauge-kept/src/shelf.rs
@@ -123,6 +123,13 @@
         }
     }
 
+    /// A record as it was last put.
+    #[must_use]
+    pub fn wanted<T: Record>(&self) -> Option<T> {
+        let slot = self.slots.get(T::NAME)?;
+        serde_json::from_value(slot.wanted.clone()).ok()
+    }
+
     /// Whether a record is durable as it was last put.
     #[must_use]
     pub fn is_durable(&self, name: &str) -> bool {
--- /dev/null
+++ b/crates/tallygauge-ledger/src/ledger.rs
@@ -0,0 +1,264 @@
+//! The ledger on record.
+
+use crate::rank::{Declared, Rank, Rule, merged, rank_of};
+use serde::{Deserialize, Serialize};
+use tallygauge_kept::{Record, Timing};
+
+/// Epochs that are kept, the one in force among them.
+const KEPT: usize = 8;
+
+/// Rules of one epoch, at most.
+const MOST_RULES: usize = 64;
+
+/// Ranks in force from a time of day on.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Epoch {
+    /// Its number; it grows by one with each change.
+    #[serde(rename = "e")]
+    pub number: u64,
+    /// Version of the declaration that it was made of.
+    #[serde(rename = "d")]
+    pub declared: u64,
+    /// Since when it is in force, seconds of the time of day.
+    #[serde(rename = "s")]
+    pub since: f64,
+    /// The ranks.
+    #[serde(rename = "r")]
+    pub rules: Vec<Rule>,
+}
+
+/// What a declaration does to the ledger.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// Nothing: it is in force already, or an older one.
+    Nothing,
+    /// Nothing, and operators should know: another declaration of the same
+    /// version is in force.
+    Differs,
+    /// The ledger as it should be kept. Until that is durable, the present one
+    /// is in force.
+    Next(Ledger),
+}
+
+/// All epochs that are kept, the oldest first.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    /// The epochs.
+    #[serde(rename = "e")]
+    epochs: Vec<Epoch>,
+}
+
+impl Record for Ledger {
+    const NAME: &'static str = "ledger";
+    const VERSION: u32 = 1;
+    const TIMING: Timing = Timing::Ahead;
+}
+
+impl Ledger {
+    /// The epoch in force, if any was declared.
+    #[must_use]
+    pub fn in_force(&self) -> Option<&Epoch> {
+        self.epochs.last()
+    }
+
+    /// What a declaration does, at a time of day. Windows' times differ by what
+    /// clocks do; an epoch is never older than the one before it.
+    #[must_use]
+    pub fn declare(&self, declared: &Declared, at: f64) -> Change {
+        let (number, before, since, rules): (u64, u64, f64, &[Rule]) = match self.in_force() {
+            Some(e) => (e.number, e.declared, e.since, &e.rules),
+            None if declared.rules.is_empty() => return Change::Nothing,
+            None => (0, 0, f64::NEG_INFINITY, &[]),
+        };
+        let first = self.epochs.is_empty();
+        if !first && declared.version < before {
+            return Change::Nothing;
+        }
+        let next = merged(rules, &declared.rules);
+        if !first && declared.version == before {
+            return if next == rules {
+                Change::Nothing
+            } else {
+                Change::Differs
+            };
+        }
+        let mut ledger = self.clone();
+        let mut next = next;
+        next.truncate(MOST_RULES);
+        ledger.epochs.push(Epoch {
+            number: number + 1,
+            declared: declared.version,
+            since: at.max(since),
+            rules: next,
+        });
+        let over = ledger.epochs.len().saturating_sub(KEPT);
+        ledger.epochs.drain(..over);
+        Change::Next(ledger)
+    }
+
+    /// The rank of a job that was accepted at a time of day, while the windows
+    /// that `open` names are open at a time: the better of the one it was
+    /// accepted with and the one in force now.
+    #[must_use]
+    pub fn rank(
+        &self,
+        (class, team): (&str, &str),
+        accepted_at: f64,
+        now: f64,
+        open: &dyn Fn(&str, f64) -> bool,
+    ) -> Rank {
+        let rank =
+            |epoch: &Epoch, at: f64| rank_of(&epoch.rules, class, team, &|window| open(window, at));
+        let then = self.epochs.iter().rev().find(|e| e.since <= accepted_at);
+        let then = then.map_or(0, |e| rank(e, accepted_at));
+        self.in_force().map_or(0, |e| rank(e, now)).max(then)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn rule(class: &str, team: &str, window: &str, rank: Rank) -> Rule {
+        let some = |s: &str| (!s.is_empty()).then(|| s.to_string());
+        Rule {
+            class: some(class),
+            team: some(team),
+            window: some(window),
+            rank,
+        }
+    }
+
+    fn declared(version: u64, rules: &[Rule]) -> Declared {
+        Declared {
+            version,
+            rules: rules.to_vec(),
+        }
+    }
+
+    fn taken(ledger: &mut Ledger, what: &Declared, at: f64) -> bool {
+        match ledger.declare(what, at) {
+            Change::Next(next) => {
+                *ledger = next;
+                true
+            }
+            Change::Nothing | Change::Differs => false,
+        }
+    }
+
+    #[test]
+    fn the_rule_that_says_most_counts_and_windows_open_and_close() {
+        let mut ledger = Ledger::default();
+        let rules = [
+            rule("lectures", "", "", 10),
+            rule("lectures", "", "exams", 60),
+            rule("", "ops", "", 30),
+            rule("lectures", "ops", "", 20),
+        ];
+        assert!(taken(&mut ledger, &declared(1, &rules), 100.0));
+        let open = |window: &str, at: f64| window == "exams" && (200.0..300.0).contains(&at);
+        let rank = |class, team, accepted, now| ledger.rank((class, team), accepted, now, &open);
+        assert_eq!(rank("lectures", "x", 110.0, 120.0), 10);
+        assert_eq!(
+            rank("lectures", "x", 110.0, 250.0),
+            60,
+            "the window is open"
+        );
+        assert_eq!(
+            rank("lectures", "x", 250.0, 400.0),
+            60,
+            "it was, at acceptance"
+        );
+        assert_eq!(rank("lectures", "ops", 110.0, 250.0), 20, "class and team");
+        assert_eq!(rank("archive", "ops", 110.0, 120.0), 30);
+        assert_eq!(rank("archive", "x", 110.0, 120.0), 0);
+        assert_eq!(
+            rank("lectures", "x", 50.0, 120.0),
+            10,
+            "from now on all alike"
+        );
+    }
+
+    // Controllers of two settings files in a roll: whoever leads, the newest
+    // declaration stays in force.
+    #[test]
+    fn an_older_file_sets_nothing_back_and_one_that_lacks_a_class_takes_nothing_away() {
+        let mut ledger = Ledger::default();
+        let old = declared(1, &[rule("a", "", "", 10), rule("b", "", "", 5)]);
+        let new = declared(2, &[rule("a", "", "", 20)]);
+        assert!(taken(&mut ledger, &old, 10.0));
+        assert!(taken(&mut ledger, &new, 20.0));
+        let kept = ledger.clone();
+        for file in [&old, &new, &Declared::default()] {
+            assert!(!taken(&mut ledger, file, 30.0));
+            assert_eq!(ledger, kept);
+        }
+        let never = |_: &str, _: f64| false;
+        assert_eq!(ledger.rank(("a", "x"), 40.0, 50.0, &never), 20);
+        assert_eq!(ledger.rank(("b", "x"), 40.0, 50.0, &never), 5);
+        // Another file of the same version is said, not taken.
+        let other = declared(2, &[rule("a", "", "", 99)]);
+        assert_eq!(ledger.declare(&other, 60.0), Change::Differs);
+    }
+
+    #[test]
+    fn a_job_keeps_the_better_rank_as_long_as_its_epoch_is_kept() {
+        let mut ledger = Ledger::default();
+        let never = |_: &str, _: f64| false;
+        for version in 1..=20u64 {
+            let rank = if version == 1 { 90 } else { 10 };
+            let file = declared(version, &[rule("a", "", "", rank)]);
+            assert!(taken(&mut ledger, &file, version as f64 * 10.0));
+            let now = version as f64 * 10.0 + 1.0;
+            let then = ledger.rank(("a", "x"), 15.0, now, &never);
+            assert_eq!(then, if version <= 8 { 90 } else { 10 }, "{version}");
+        }
+        assert!(serde_json::to_string(&ledger).unwrap().len() < 1000);
+        // A clock that steps back makes no epoch older than the one before it.
+        assert!(taken(
+            &mut ledger,
+            &declared(21, &[rule("a", "", "", 1)]),
+            0.0
+        ));
+        assert!(
+            ledger
+                .epochs
+                .is_sorted_by(|a, b| a.since <= b.since && a.number < b.number)
+        );
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 128, rng_seed: proptest::test_runner::RngSeed::Fixed(71), failure_persistence: None, ..ProptestConfig::default() })]
+        // Leaders with settings files of any versions, in any order, some of whose
+        // writes are lost: the declaration in force only ever gets newer, and all
+        // who read the record give the same ranks.
+        #[test]
+        fn whoever_leads_the_newest_declaration_wins(
+            leaders in prop::collection::vec((0usize..4, any::<bool>()), 1..24),
+        ) {
+            let files: Vec<Declared> = (0..4u64).map(|v| {
+                let rules: Vec<Rule> = (0..=v).map(|n| rule(&format!("c{n}"), "", "", (v * 10 + n) as u8)).collect();
+                declared(v, &rules)
+            }).collect();
+            let mut on_record = Ledger::default();
+            let mut newest = None;
+            for (n, (file, lost)) in leaders.into_iter().enumerate() {
+                if let Change::Next(next) = on_record.declare(&files[file], n as f64) {
+                    prop_assert!(newest.is_none_or(|v| files[file].version > v));
+                    if !lost {
+                        newest = Some(files[file].version);
+                        on_record = next;
+                    }
+                }
+                prop_assert_eq!(on_record.in_force().map(|e| e.declared), newest);
+                if let Some(v) = newest {
+                    let text = serde_json::to_string(&on_record).unwrap();
+                    let read: Ledger = serde_json::from_str(&text).unwrap();
+                    let never = |_: &str, _: f64| false;
+                    prop_assert_eq!(u64::from(read.rank(("c0", "t"), 1e9, 1e9, &never)), v * 10);
+                }
+            }
+        }
+    }
+}
--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     begins::Begins, drains::Drain, floor::Floor, model::*, pages::Pages, placements::before_first,
-    ranges::RangeSet, surplus::Rises, sweep::Sweep,
+    ranges::RangeSet, surplus::Rises, sweep::Sweep, trade::Trade,
 };
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -89,6 +89,7 @@
     pub(crate) floor: Floor,
     pub(crate) begins: Begins,
     pub(crate) sweep: Sweep,
+    pub(crate) trade: Trade,
     /// What an earlier leader believed of machines that are not known yet.
     pub(crate) atlas: Atlas,
 }
@@ -131,6 +132,7 @@
             floor,
             begins: Begins::default(),
             sweep: Sweep::default(),
+            trade: Trade::default(),
             atlas: Atlas::default(),
         }
     }
@@ -187,6 +189,9 @@
             errors: 0,
             measured: BTreeMap::new(),
             fresh,
+            due: None,
+            accepted_day: None,
+            rise: 0.0,
             spec: Arc::new(spec),
         };
         self.floor.book.open(job.places[0], job.size());
@@ -202,6 +207,7 @@
         let Some(job) = self.jobs.remove(id) else {
             return false;
         };
+        self.count_for_cutoff(&job, now);
         self.count_over(&job, now);
         self.dirty_jobs.remove(id);
         self.pages.forget(id, job.spec.tasks.div_ceil(self.chunk));
--- a/crates/tallygauge-sched/src/floor.rs
+++ b/crates/tallygauge-sched/src/floor.rs
@@ -196,7 +196,7 @@
     }
 
     /// CPU-seconds until the last task of a job is done.
-    fn work_left(&self, job: &Job) -> f64 {
+    pub(crate) fn work_left(&self, job: &Job) -> f64 {
         let run = self.remaining(job, 0.0);
         let resumes = job.resumes.values();
         let resumes: f64 = resumes.map(|r| self.remaining(job, r.saved_s)).sum();
--- a/crates/tallygauge-sched/src/mapping/rooms.rs
+++ b/crates/tallygauge-sched/src/mapping/rooms.rs
@@ -216,7 +216,7 @@
         };
         let saved = group.saved_on(&self.types[self.slots[best.slot].of_type].name);
         let time = self.time_on(at, saved, best.slot);
-        let worth = self.c.worth(group.job, self.now + time * 0.5);
+        let worth = self.c.order_worth(group.job, self.now + time * 0.5);
         Some((best.slot, worth / time))
     }
 
--- a/crates/tallygauge-sched/src/mapping/round.rs
+++ b/crates/tallygauge-sched/src/mapping/round.rs
@@ -269,7 +269,7 @@
     pub(super) fn best_upt(&self, waiting: &Waiting) -> f64 {
         let saved = waiting.group.resume.map_or(0.0, |r| r.saved_s);
         let left = self.remaining(waiting.at, saved);
-        self.c.worth(waiting.group.job, self.now + left * 0.5) / left
+        self.c.order_worth(waiting.group.job, self.now + left * 0.5) / left
     }
 
     fn best_possible(&self, waiting: &Waiting) -> Rank {
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -6,6 +6,7 @@
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
+use tallygauge_calendar::Due;
 use tallygauge_judge::{Hearing, Limits, Order};
 use tallygauge_weights::Spread;
 use tallygauge_wire::{
@@ -412,6 +413,12 @@
     /// Tasks of which no attempt has run for long enough to count, as far as
     /// this leader knows.
     pub fresh: RangeSet,
+    /// The cutoff that it counts for.
+    pub due: Option<Due>,
+    /// Time of day when it was accepted, as its record says.
+    pub accepted_day: Option<f64>,
+    /// How far it is raised within the step of its urgency, 0 to 1.
+    pub rise: f64,
 }
 
 impl Job {
--- a/crates/tallygauge-sched/src/tests/mod.rs
+++ b/crates/tallygauge-sched/src/tests/mod.rs
@@ -5,6 +5,7 @@
 mod floor;
 mod judging;
 mod sweep;
+mod trade;
 mod weights;
 
 use crate::{mapping::Group, *};
@@ -240,7 +241,7 @@
             };
             let score = time + c.packing(w, of_type, room.cpus, self.largest, spared);
             if spot.as_ref().is_none_or(|s| score < s.0) {
-                let upt = c.worth(job, self.now + time * 0.5) / time;
+                let upt = c.order_worth(job, self.now + time * 0.5) / time;
                 spot = Some((score, upt, name.clone()));
             }
         }
--- a/crates/tallygauge/examples/load.rs
+++ b/crates/tallygauge-world/examples/load.rs
@@ -2,16 +2,13 @@
 //! real HTTP, with stand-ins of state service, cloud and workers.
 //!
 //!     cargo build --release
-//!     cargo run --release -p tallygauge --example load -- --machines 600
+//!     cargo run --release -p tallygauge-world --example load -- --machines 600
 //!
 //! Phases: machines are met and tasks start on all of them; all of these end and
 //! others start; a steady time in which reports say nothing new; a restart of
 //! the process with all machines at work. Times are the process's own, as the
 //! kernel counts them.
 
-#[path = "../tests/world/mod.rs"]
-mod world;
-
 use bytes::Buf;
 use clap::Parser;
 use serde_json::{Value, json};
@@ -25,9 +22,9 @@
     time::{Duration, Instant},
 };
 use tallygauge_state::http::{Answer, Http};
+use tallygauge_world::World;
 use tokio::{net::TcpListener, sync::Notify};
 use warp::{Filter, http::Method};
-use world::World;
 
 /// Measures a controller under the load of stand-in workers.
 #[derive(Debug, Parser)]
@@ -295,7 +292,7 @@
         "deployment": {
             "count": 1, "zones": ["a"],
             "teams": [{"name": "t", "cpus": cpus, "cpus_max": cpus}],
-            "workers": {"report_s": arguments.report, "lease_s": world::LEASE_S, "cancel_s": 20.0},
+            "workers": {"report_s": arguments.report, "lease_s": tallygauge_world::LEASE_S, "cancel_s": 20.0},
             "state": {"rps": 400.0, "write_rps": 200.0, "value_kb": 8.0, "txn_ops": 16},
             "cloud": {"rps": 8.0, "list_lag_s": 1.0},
             "quota": {"cores": 0.5, "memory_mb": 100.0, "sockets": machines * 3}
--- a/crates/tallygauge/tests/world/mod.rs
+++ b/crates/tallygauge-world/src/lib.rs
@@ -1,10 +1,14 @@
-//! Stand-ins of state service, cloud and workers, in simulated time. They are
-//! written from the protocol, keep count of what is where, and note every
-//! start that breaks a rule.
+//! Stand-ins of state service, cloud, workers and users, in simulated time, for
+//! the tests of tallygauge. They are written from the protocol, keep count of
+//! what is where, and note every start that breaks a rule.
+//!
+//! Troubles: nodes cut from the state service, standing still, crashing and back
+//! at once; workers silent, deaf, begun again; copies of reports that come late.
 
-// Tests and examples use different parts.
-#![allow(dead_code)]
+// What the stand-ins are made of is told by its names.
+#![allow(missing_docs)]
 
+use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -51,6 +55,8 @@
     tasks: Vec<SimTask>,
     /// Neither reports nor takes commands, but runs its tasks.
     silent: bool,
+    /// Its reports arrive; answers and commands don't reach it.
+    deaf: bool,
     at_node: usize,
 }
 
@@ -97,6 +103,12 @@
     pub bounced: u32,
     /// What the team's tasks may use.
     pub team_cpus: f64,
+    /// Reports that come again, late: when, which.
+    copies: Vec<(f64, Vec<u8>)>,
+    /// Part of the reports that come again, and after how many seconds at most.
+    pub copying: (f64, f64),
+    /// Deals out chance.
+    chance: rand::rngs::StdRng,
     /// Where workers take direct commands, if not under their names.
     pub endpoints: HashMap<String, String>,
 }
@@ -188,6 +200,9 @@
                 bounced: 0,
                 team_cpus: TEAM_CPUS,
                 endpoints: HashMap::new(),
+                copies: Vec::new(),
+                copying: (0.0, 0.0),
+                chance: rand::rngs::StdRng::seed_from_u64(1),
             }),
             changed: Notify::new(),
             thawed: Notify::new(),
@@ -202,6 +217,11 @@
 
     /// Starts a controller and what it does unasked.
     pub fn node(self: &Arc<Self>, name: &str) -> (Arc<Node>, JoinHandle<()>) {
+        self.node_with(name, Tuning::default())
+    }
+
+    /// Starts a controller with operators' settings.
+    pub fn node_with(self: &Arc<Self>, name: &str, tuning: Tuning) -> (Arc<Node>, JoinHandle<()>) {
         let settings = json!({
             "node_name": name, "area": "a",
             "client_listen": "127.0.0.1:7080", "back": "127.0.0.1:7081", "seeds": [],
@@ -220,7 +240,7 @@
             node: name.into(),
         }));
         let settings = Settings::parse(&settings.to_string()).unwrap();
-        let (node, questions) = Node::new(settings, Tuning::default(), http.clone(), http);
+        let (node, questions) = Node::new(settings, tuning, http.clone(), http);
         self.nodes.lock().unwrap().push(Some(node.clone()));
         let background = tallygauge::background(node.clone(), questions);
         let task = tokio::spawn(self.on(name, background));
@@ -325,6 +345,84 @@
         (id, body.to_string().into_bytes())
     }
 
+    /// Lets a report come again some time later, as chance has it.
+    fn note_copy(&self, now: f64, body: &[u8]) {
+        let mut inner = self.inner.lock().unwrap();
+        let (part, most) = inner.copying;
+        if part > 0.0 && inner.chance.random::<f64>() < part {
+            let at = now + inner.chance.random::<f64>() * most;
+            inner.copies.push((at, body.to_vec()));
+        }
+    }
+
+    /// Brings copies that are due to every node that is up: nobody waits for the
+    /// answers.
+    fn bring_copies(&self, now: f64) {
+        let due: Vec<Vec<u8>> = {
+            let mut inner = self.inner.lock().unwrap();
+            let due = inner.copies.extract_if(.., |c| c.0 <= now);
+            due.map(|c| c.1).collect()
+        };
+        if due.is_empty() {
+            return;
+        }
+        let nodes: Vec<Arc<Node>> = self
+            .nodes
+            .lock()
+            .unwrap()
+            .iter()
+            .flatten()
+            .cloned()
+            .collect();
+        for node in nodes
+            .iter()
+            .filter(|n| !self.is_frozen(&n.settings.node_name))
+        {
+            for body in &due {
+                let _ = check_in(node, body);
+            }
+        }
+    }
+
+    /// Chance follows from a seed.
+    pub fn seed(&self, seed: u64) {
+        self.inner.lock().unwrap().chance = rand::rngs::StdRng::seed_from_u64(seed);
+    }
+
+    /// A machine's reports go on to arrive; answers and commands don't reach it.
+    pub fn deafen(&self, worker: &str, deaf: bool) {
+        let mut inner = self.inner.lock().unwrap();
+        if let Some(w) = inner.workers.get_mut(worker) {
+            w.deaf = deaf;
+        }
+    }
+
+    /// A machine is back within a fraction of a second, all that ran there gone:
+    /// its worker counts from the beginning.
+    pub fn begin_again(&self, worker: &str) {
+        let now = self.now();
+        let mut inner = self.inner.lock().unwrap();
+        if let Some(w) = inner.workers.get_mut(worker) {
+            w.tasks.clear();
+            (w.session, w.seq, w.token, w.answered) = (1, 0, 0, now);
+        }
+    }
+
+    /// Starts a task on two machines, as no controller may.
+    pub fn start_twice(&self, task: &str) {
+        let now = self.now();
+        let mut inner = self.inner.lock().unwrap();
+        for (attempt, name) in (1..).zip(inner.names().into_iter().take(2)) {
+            let task = task.to_string();
+            inner.execute(now, &name, &[Command::Start { task, attempt }]);
+        }
+    }
+
+    /// Names of machines that are up.
+    pub fn up(&self) -> Vec<String> {
+        self.inner.lock().unwrap().names()
+    }
+
     pub fn silence(&self, worker: &str, silent: bool) {
         let mut inner = self.inner.lock().unwrap();
         inner.workers.get_mut(worker).unwrap().silent = silent;
@@ -454,7 +552,7 @@
             let mut inner = self.inner.lock().unwrap();
             inner.advance(now);
             match inner.workers.get_mut(worker) {
-                Some(w) if !w.silent => {
+                Some(w) if !w.silent && !w.deaf => {
                     w.seq += 1;
                     if request.token < w.token || request.session != w.session {
                         inner.bounced += 1;
@@ -505,7 +603,9 @@
                     })
                     .collect()
             };
+            self.bring_copies(now);
             for (name, at, sent, body) in reports {
+                self.note_copy(now, &body);
                 let node = {
                     let nodes = self.nodes.lock().unwrap();
                     let node = nodes.get(at % nodes.len().max(1)).cloned().flatten();
@@ -529,7 +629,7 @@
 impl Inner {
     /// A worker takes the answer to a report that it sent.
     pub fn answered(&mut self, sent: f64, name: &str, answer: &ReportAnswer) {
-        let Some(w) = self.workers.get_mut(name) else {
+        let Some(w) = self.workers.get_mut(name).filter(|w| !w.deaf) else {
             return;
         };
         if answer.token < w.token {
@@ -653,6 +753,7 @@
                         answered: now,
                         tasks: Vec::new(),
                         silent: false,
+                        deaf: false,
                         at_node: 0,
                     },
                 );
--- a/crates/tallygauge/tests/failures.rs
+++ b/crates/tallygauge-world/tests/failures.rs
@@ -1,7 +1,5 @@
 //! The controller against stand-ins, in simulated time.
 
-mod world;
-
 use std::{sync::Arc, time::Duration};
 use tallygauge::{
     leader::give_way,
@@ -14,8 +12,10 @@
     state::{Transaction, Write},
     users::JobStatus,
 };
+use tallygauge_world::{
+    LEASE_S, REPORT_S, To, World, accepted, ask, leads, led, started, status_of, until,
+};
 use warp::http::Method;
-use world::{LEASE_S, REPORT_S, To, World, accepted, ask, leads, led, started, status_of, until};
 
 #[tokio::test(start_paused = true)]
 async fn a_job_runs_from_end_to_end() {
--- a/crates/tallygauge/tests/freezes.rs
+++ b/crates/tallygauge-world/tests/freezes.rs
@@ -1,16 +1,16 @@
 //! Controllers that stand still for seconds while their clocks run on: what
 //! they knew before is looked at again before they act on it.
 
-mod world;
-
 use std::{sync::Arc, time::Duration};
 use tallygauge::{
     node::Node,
     users::{self, Passing, Relay},
 };
 use tallygauge_wire::users::JobStatus;
+use tallygauge_world::{
+    CANCEL_S, FreezeAt, To, World, accepted, ask, led, started, status_of, until,
+};
 use warp::http::Method;
-use world::{CANCEL_S, FreezeAt, To, World, accepted, ask, led, started, status_of, until};
 
 /// Cancels a job, through whichever node answers.
 async fn cancelled(world: &World, nodes: &[&Arc<Node>], id: &str) -> JobStatus {
--- a/crates/tallygauge/src/control.rs
+++ b/crates/tallygauge/src/control.rs
@@ -7,7 +7,7 @@
     workers,
 };
 use std::{sync::Arc, time::Duration};
-use tallygauge_sched::{Batch, Completion, Flush, PageWrite};
+use tallygauge_sched::{Batch, Cluster, Completion, Flush, PageWrite};
 use tallygauge_state::{Class, Error, Outcome};
 use tallygauge_wire::{
     BODY_LIMIT,
@@ -66,6 +66,7 @@
                 c.tick(now);
                 c.elect(now);
                 c.call_to_begin(now);
+                c.look_at_trade(now);
             }
             if sure {
                 let (placed, stopped) = c.plan(now, true);
@@ -162,11 +163,38 @@
             sockets_free,
             "summary"
         );
+        let cutoffs = shown_cutoffs(c, node.now());
+        if !cutoffs.is_empty() {
+            tracing::info!(cutoffs, "calendar");
+        }
         let (classes, teams) = floor::shown(c);
         tracing::info!(classes, teams, "served");
     });
 }
 
+/// Cutoffs that operators declared or that are at risk in one field: seconds
+/// until each, jobs done, of these too late, open; slack in seconds, `!` when at
+/// risk.
+fn shown_cutoffs(c: &Cluster, now: f64) -> String {
+    let mut out = Vec::new();
+    for cutoff in c.cutoffs(now) {
+        let risk = cutoff.verdict.is_some_and(|v| v.at_risk);
+        if !cutoff.declared && !risk {
+            continue;
+        }
+        let (left_s, (done, late), open) = (cutoff.left_s, cutoff.done, cutoff.open);
+        let slack = cutoff
+            .verdict
+            .map_or(String::new(), |v| format!("/{:.0}", v.slack_s));
+        let mark = if risk { "!" } else { "" };
+        out.push(format!(
+            "{}:{left_s:.0}/{done}/{late}/{open}{slack}{mark}",
+            cutoff.name
+        ));
+    }
+    out.join(" ")
+}
+
 /// Makes a batch of placements durable. Only then may its starts go out.
 /// Conditioned on the term, on the batch's name being new, and on the records
 /// of the jobs, so that nothing starts after a cancellation.
--- a/crates/tallygauge/src/kept.rs
+++ b/crates/tallygauge/src/kept.rs
@@ -1,10 +1,11 @@
 //! Records that a leader keeps beside the jobs, at the state service: read once
 //! when a term begins, written now and then, many in one change.
 
-use crate::{control::record_bytes, node::Node};
+use crate::{control::record_bytes, node::Node, trade::Calendar};
 use serde_json::Value;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tallygauge_kept::{Found, Parcel, Record, Shelf, read};
+use tallygauge_sched::{Ledger, LedgerChange};
 use tallygauge_state::{Class, Error, Outcome};
 use tallygauge_wire::state::{Guard, Transaction, Write};
 
@@ -12,7 +13,7 @@
 const PREFIX: &str = "s/";
 
 /// Report intervals between two looks at what has changed.
-const LOOK_EVERY: f64 = 4.0;
+const LOOK_EVERY: f64 = 2.0;
 
 /// Parts that the beliefs of where images lie may have.
 const IMAGE_PARTS: usize = 4;
@@ -80,6 +81,22 @@
         .map(|(name, f)| (name.clone(), f.1))
         .collect();
     let mut shown = node.now();
+    declare(node, &mut shelf, &kept);
+    // What is ahead is written before anything else, and in force when it is.
+    while let Some(parcel) = shelf.parcel(2, bytes, true) {
+        write(node, &term_guard, &mut shelf, &mut versions, &parcel).await;
+        if parcel.items.iter().any(|i| !shelf.is_durable(&i.name)) {
+            tokio::time::sleep(node.term_ttl() / 8).await;
+        }
+    }
+    if let Some(ledger) = shelf.wanted::<Ledger>() {
+        node.with_cluster(|c| c.set_ledger(ledger));
+    }
+    if let Some(calendar) = shelf.wanted::<Calendar>() {
+        let rules = calendar.rules().unwrap_or_default();
+        node.with_cluster(|c| c.set_calendar(rules, calendar.act_on_drawn));
+    }
+    node.wake.notify_one();
     loop {
         tokio::time::sleep(pause).await;
         collect(node, &mut shelf, bytes);
@@ -88,7 +105,7 @@
             write(node, &term_guard, &mut shelf, &mut versions, &parcel).await;
         }
         let now = node.now();
-        if now - shown > report * LOOK_EVERY * 4.0 {
+        if now - shown > report * LOOK_EVERY * 8.0 {
             shown = now;
             let records: Vec<String> = shelf
                 .shown(now)
@@ -103,19 +120,59 @@
     }
 }
 
+/// Puts the cutoffs and ranks that this node's settings declare on the shelf, if
+/// they are newer than those in force.
+fn declare(node: &Node, shelf: &mut Shelf, kept: &Kept) {
+    let calendar = &node.tuning.calendar;
+    let before = kept.take::<Calendar>(None);
+    let in_force = before.as_ref().map_or(0, |c| c.version);
+    if calendar.version > in_force {
+        let put = shelf.put(None, calendar, Node::time_of_day());
+        tracing::info!(version = calendar.version, ?put, "cutoffs are declared");
+    } else if calendar.version == in_force && before.is_some_and(|c| c != *calendar) {
+        let version = in_force;
+        tracing::warn!(
+            version,
+            "other cutoffs of this version are in force: raise the version"
+        );
+    }
+    let declared = node.tuning.ledger.declared(&node.tuning.calendar);
+    let at = Node::time_of_day();
+    let change = declared.ok().and_then(|d| {
+        let change = node.with_cluster(|c| c.ledger().declare(&d, at))?;
+        Some((d.version, change))
+    });
+    match change {
+        Some((version, LedgerChange::Next(ledger))) => {
+            if let Err(why) = shelf.put(None, &ledger, at) {
+                tracing::warn!(why, "the ranks can't be kept and are not in force");
+            } else {
+                tracing::info!(version, "ranks are declared");
+            }
+        }
+        Some((version, LedgerChange::Differs)) => {
+            tracing::warn!(
+                version,
+                "other ranks of this version are in force: raise the version"
+            );
+        }
+        Some((_, LedgerChange::Nothing)) | None => {}
+    }
+}
+
 /// Puts the records on the shelf as they should be now.
 fn collect(node: &Node, shelf: &mut Shelf, bytes: usize) {
     let at = Node::time_of_day();
     // What the keeper adds to a record.
     let room = bytes.saturating_sub(64);
     let least_s = node.tuning.weights.remember_from;
-    let Some((floor, images)) = node.with_cluster(|c| {
+    let Some((floor, images, calendar)) = node.with_cluster(|c| {
         let images = c.beliefs(least_s, room, IMAGE_PARTS);
-        (c.floor_record(room), images)
+        (c.floor_record(room), images, c.calendar().clone())
     }) else {
         return;
     };
-    let mut complaints = vec![shelf.put(None, &floor, at)];
+    let mut complaints = vec![shelf.put(None, &floor, at), shelf.put(None, &calendar, at)];
     for (part, record) in images.iter().enumerate() {
         complaints.push(shelf.put(Some(part), record, at));
     }
--- a/crates/tallygauge/src/leader.rs
+++ b/crates/tallygauge/src/leader.rs
@@ -4,6 +4,7 @@
     cloud, control, kept,
     node::{LEADER_KEY, Lead, Node, TERM_KEY},
     sweep,
+    trade::Calendar,
     users::{self, OpenRecord},
     workers,
 };
@@ -305,6 +306,15 @@
     for part in kept.parts::<ImagesPart>() {
         cluster.believe(&part);
     }
+    if let Some(calendar) = kept.take::<Calendar>(None) {
+        cluster.set_calendar(calendar.rules().unwrap_or_default(), calendar.act_on_drawn);
+    }
+    if let Some(book) = kept.take(None) {
+        cluster.load_calendar(book);
+    }
+    if let Some(ledger) = kept.take(None) {
+        cluster.set_ledger(ledger);
+    }
     let mut done: HashMap<String, RangeSet> = HashMap::new();
     for row in pages {
         let Some(page) = row.key.strip_prefix("f/").and_then(|n| n.parse().ok()) else {
@@ -320,7 +330,9 @@
         let none = RangeSet::default();
         let finished = done.get(&record.spec.id).unwrap_or(&none);
         let accepted = now - (time_of_day - record.at).max(0.0);
+        let id = record.spec.id.clone();
         cluster.add_job(record.spec, row.version, accepted, finished);
+        cluster.accepted(&id, record.at);
     }
     let jobs = &cluster.jobs;
     cluster.pages.retain(|id| jobs.contains_key(id));
@@ -412,7 +424,9 @@
         } => match serde_json::from_value::<OpenRecord>(value) {
             Ok(record) => {
                 let accepted = now - (time_of_day - record.at).max(0.0);
+                let id = record.spec.id.clone();
                 cluster.add_job(record.spec, version, accepted, &RangeSet::default());
+                cluster.accepted(&id, record.at);
             }
             Err(error) => tracing::error!(%error, key, "an open job can't be read"),
         },
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod settings;
 pub mod sockets;
 pub mod sweep;
+pub mod trade;
 pub mod tuning;
 pub mod users;
 pub mod workers;
--- /dev/null
+++ b/crates/tallygauge/src/trade.rs
@@ -0,0 +1,252 @@
+//! The operators' calendar and ranks: read from their settings (XML), and taken
+//! into force.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use tallygauge_kept::{Record, Timing};
+use tallygauge_sched::{CutoffRule, Days, Declared, HIGHEST, RankRule};
+
+/// The calendar, as operators write it, and as it is on record: while controllers
+/// have different settings files, the later version is in force under each.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Calendar {
+    /// Grows with every change: of two files the later one counts.
+    #[serde(rename = "@version")]
+    pub version: u64,
+    /// Cutoffs that are drawn from jobs raise work as declared ones do.
+    pub act_on_drawn: bool,
+    /// Days that are no working days.
+    pub holiday: Vec<String>,
+    /// Cutoffs.
+    pub cutoff: Vec<Cutoff>,
+}
+
+impl Record for Calendar {
+    const NAME: &'static str = "cutoffs";
+    const VERSION: u32 = 1;
+    const TIMING: Timing = Timing::Ahead;
+}
+
+/// A cutoff, as operators write it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cutoff {
+    /// Name.
+    #[serde(rename = "@name")]
+    pub name: String,
+    /// Time zone, as `Asia/Seoul`.
+    #[serde(rename = "@zone")]
+    pub zone: String,
+    /// `daily`, `weekdays` or `month-end`.
+    #[serde(rename = "@days")]
+    pub days: String,
+    /// Working days before the last of the month.
+    #[serde(rename = "@before", default)]
+    pub before: u8,
+    /// Time at which its window opens, as `18:00`.
+    #[serde(rename = "@opens")]
+    pub opens: String,
+    /// Days before the cutoff's on which it opens.
+    #[serde(rename = "@opens-before", default)]
+    pub opens_before: u8,
+    /// Time of the cutoff.
+    #[serde(rename = "@at")]
+    pub at: String,
+    /// Classes that it is for, with blanks between; none: all.
+    #[serde(rename = "@classes", default)]
+    pub classes: String,
+    /// Teams that it is for, with blanks between; none: all.
+    #[serde(rename = "@teams", default)]
+    pub teams: String,
+}
+
+/// Ranks, as operators write them.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Ranks {
+    /// Grows with every change: of two files the later one counts.
+    #[serde(rename = "@version")]
+    pub version: u64,
+    /// The ranks.
+    pub rank: Vec<RankEntry>,
+}
+
+/// A rank, as operators write it.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RankEntry {
+    /// Class of jobs; none: any.
+    #[serde(rename = "@class", default)]
+    pub class: Option<String>,
+    /// Team; none: any.
+    #[serde(rename = "@team", default)]
+    pub team: Option<String>,
+    /// Only in the window of the cutoff of this name; none: always.
+    #[serde(rename = "@during", default)]
+    pub during: Option<String>,
+    /// 0 to 100.
+    #[serde(rename = "@value")]
+    pub value: u8,
+}
+
+fn words(text: &str) -> BTreeSet<String> {
+    text.split_whitespace().map(str::to_string).collect()
+}
+
+impl Calendar {
+    /// The cutoffs, checked.
+    ///
+    /// # Errors
+    /// One line naming the element and what would be right.
+    pub fn rules(&self) -> Result<Vec<CutoffRule>, String> {
+        let mut holidays = BTreeSet::new();
+        for day in &self.holiday {
+            let date = day.trim().parse();
+            holidays.insert(date.map_err(|_| {
+                format!("calendar/holiday must be a date as 2026-12-25, not '{day}'")
+            })?);
+        }
+        if self.version == 0 && !self.cutoff.is_empty() {
+            return Err(
+                "calendar must have a version above 0, which grows with every change".into(),
+            );
+        }
+        let mut names = BTreeSet::new();
+        let mut rules = Vec::new();
+        for cutoff in &self.cutoff {
+            let bad = |field: &str, what: &str| {
+                format!("calendar/cutoff '{}': {field} must be {what}", cutoff.name)
+            };
+            let days = match cutoff.days.as_str() {
+                "daily" => Days::Daily,
+                "weekdays" => Days::Weekdays,
+                "month-end" => Days::MonthEnd {
+                    before: cutoff.before,
+                },
+                _ => return Err(bad("days", "daily, weekdays or month-end")),
+            };
+            let zone = jiff::tz::TimeZone::get(&cutoff.zone);
+            let rule = CutoffRule {
+                name: cutoff.name.clone(),
+                zone: zone.map_err(|_| bad("zone", "a time zone as Asia/Seoul"))?,
+                classes: words(&cutoff.classes),
+                teams: words(&cutoff.teams),
+                days,
+                at: cutoff
+                    .at
+                    .parse()
+                    .map_err(|_| bad("at", "a time as 08:00"))?,
+                opens: cutoff
+                    .opens
+                    .parse()
+                    .map_err(|_| bad("opens", "a time as 18:00"))?,
+                opens_before: cutoff.opens_before,
+                holidays: holidays.clone(),
+            };
+            let named = |why| format!("calendar/cutoff '{}': {why}", cutoff.name);
+            rule.check().map_err(named)?;
+            if !names.insert(cutoff.name.clone()) {
+                return Err(bad("name", "its own"));
+            }
+            rules.push(rule);
+        }
+        Ok(rules)
+    }
+}
+
+impl Ranks {
+    /// The ranks, checked against the calendar's cutoffs.
+    ///
+    /// # Errors
+    /// One line naming the element and what would be right.
+    pub fn declared(&self, calendar: &Calendar) -> Result<Declared, String> {
+        let mut rules = Vec::new();
+        for entry in &self.rank {
+            if entry.value > HIGHEST {
+                return Err(format!(
+                    "ledger/rank value must be 0 to {HIGHEST}, not {}",
+                    entry.value
+                ));
+            }
+            if let Some(window) = &entry.during
+                && !calendar.cutoff.iter().any(|c| c.name == *window)
+            {
+                return Err(format!(
+                    "ledger/rank during '{window}' names no cutoff of the calendar"
+                ));
+            }
+            rules.push(RankRule {
+                class: entry.class.clone(),
+                team: entry.team.clone(),
+                window: entry.during.clone(),
+                rank: entry.value,
+            });
+        }
+        if !rules.is_empty() && self.version == 0 {
+            return Err("ledger must have a version above 0, which grows with every change".into());
+        }
+        Ok(Declared {
+            version: self.version,
+            rules,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::tuning::Tuning;
+
+    const SCHOOL: &str = r#"<tallygauge>
+      <calendar version="4">
+        <holiday>2026-12-25</holiday>
+        <cutoff name="lectures" zone="Asia/Seoul" days="weekdays" opens="18:00" opens-before="1" at="08:00" classes="transcode-batch exam-rush"/>
+        <cutoff name="exam-weeks" zone="Asia/Seoul" days="month-end" opens="00:00" opens-before="14" at="20:00"/>
+      </calendar>
+      <ledger version="3">
+        <rank class="exam-rush" during="exam-weeks" value="90"/>
+        <rank class="transcode-batch" team="campus-support" value="20"/>
+      </ledger>
+    </tallygauge>"#;
+
+    #[test]
+    fn a_calendar_and_ranks_are_read() {
+        let tuning = Tuning::parse(SCHOOL).unwrap();
+        let rules = tuning.calendar.rules().unwrap();
+        assert_eq!(rules.len(), 2);
+        assert!(rules[0].is_for("exam-rush", "x") && !rules[0].is_for("archive", "x"));
+        let ranks = tuning.ledger.declared(&tuning.calendar).unwrap();
+        assert_eq!((ranks.version, ranks.rules.len()), (3, 2));
+    }
+
+    #[test]
+    fn bad_ones_are_refused_with_a_word_on_the_field() {
+        for (from, to, word) in [
+            ("2026-12-25", "christmas", "holiday"),
+            ("Asia/Seoul", "Asia/Soul", "zone"),
+            ("weekdays", "workdays", "days must be"),
+            ("18:00", "six", "opens"),
+            ("at=\"08:00\"", "at=\"25:00\"", "at must be"),
+            ("opens-before=\"1\"", "opens-before=\"0\"", "opens-before"),
+            ("\"exam-weeks\" zone", "\"lectures\" zone", "its own"),
+            (
+                "during=\"exam-weeks\"",
+                "during=\"exams\"",
+                "during 'exams'",
+            ),
+            ("value=\"90\"", "value=\"101\"", "0 to 100"),
+            ("version=\"3\"", "version=\"0\"", "version"),
+            (
+                "<calendar version=\"4\"",
+                "<calendar",
+                "calendar must have a version",
+            ),
+            ("<ledger", "<ledger colour=\"red\"", "colour"),
+        ] {
+            let text = SCHOOL.replacen(from, to, 1);
+            assert_ne!(text, SCHOOL);
+            let error = Tuning::parse(&text).expect_err(to);
+            assert!(error.contains(word), "{to}: {error}");
+        }
+    }
+}
--- a/crates/tallygauge/src/tuning.rs
+++ b/crates/tallygauge/src/tuning.rs
@@ -1,5 +1,6 @@
 //! The operators' own settings (XML): the open values of the design.
 
+use crate::trade::{Calendar, Ranks};
 use serde::Deserialize;
 use std::path::Path;
 
@@ -25,6 +26,10 @@
     pub floor: Floor,
     /// Where models' weights and other images lie, and where replicas go.
     pub weights: Weights,
+    /// Cutoffs.
+    pub calendar: Calendar,
+    /// Ranks among what is equally urgent.
+    pub ledger: Ranks,
 }
 
 /// Where models' weights and other images lie, and where replicas go.
@@ -105,6 +110,8 @@
             rent_horizon: 1.0,
             floor: Floor::default(),
             weights: Weights::default(),
+            calendar: Calendar::default(),
+            ledger: Ranks::default(),
         }
     }
 }
@@ -163,6 +170,8 @@
                 return Err(format!("{name} must be 0 or more, not {value}"));
             }
         }
+        tuning.calendar.rules()?;
+        tuning.ledger.declared(&tuning.calendar)?;
         let w = &tuning.worth;
         if w.low > w.normal || w.normal > w.high || w.high > w.production {
             return Err("worth must not fall from low to production".into());
