--- a/crates/tallygauge/src/tuning.rs
+++ b/crates/tallygauge/src/tuning.rs
@@ -47,7 +47,7 @@
 impl Default for Weights {
     fn default() -> Self {
         Self {
-            replica_risk: 30.0,
+            replica_risk: 60.0,
             remember_from: 1.0,
         }
     }
