--- a/crates/tallygauge-floor/src/book.rs
+++ b/crates/tallygauge-floor/src/book.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     ring::{BUCKETS, Ring},
-    sizes::{LARGEST, Size, Sizes},
+    sizes::{LARGEST, Limits, Size, Sizes},
 };
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, sync::Arc};
@@ -195,11 +195,24 @@
     /// Where the largest jobs of the class at a place count, if a job of this
     /// size is one of them.
     pub fn largest(&mut self, class: usize, size: Size) -> Option<usize> {
-        if !self.is_large(class, size, LARGEST) {
-            return None;
-        }
+        let large = self.is_large(class, size, LARGEST);
+        large.then(|| self.place_of_largest(class))
+    }
+
+    /// Where the largest jobs of the class at a place count.
+    pub fn place_of_largest(&mut self, class: usize) -> usize {
         let name = self.keys[class].name.clone();
-        Some(self.place(Kind::Largest, &name))
+        self.place(Kind::Largest, &name)
+    }
+
+    /// From which sizes on jobs are among such a part of the largest of their
+    /// class, by its place.
+    #[must_use]
+    pub fn limits(&self, part: f64) -> HashMap<usize, Limits> {
+        let sizes = self.sizes.iter();
+        sizes
+            .map(|(class, [over, open])| (*class, over.limits(open, part)))
+            .collect()
     }
 
     /// Whether a job of this size is among such a part of the largest jobs of the
--- a/crates/tallygauge-floor/src/lib.rs
+++ b/crates/tallygauge-floor/src/lib.rs
@@ -13,4 +13,4 @@
 pub use book::{Book, End, Key, Kind, Places, Record, Tally};
 pub use elect::{Candidate, Demand, Election, Level, Seat, elect};
 pub use ring::{BUCKETS, Ring};
-pub use sizes::{Size, Sizes};
+pub use sizes::{LARGEST, Limits, Size, Sizes};
--- a/crates/tallygauge-floor/src/sizes.rs
+++ b/crates/tallygauge-floor/src/sizes.rs
@@ -21,6 +21,21 @@
 #[serde(transparent)]
 pub struct Sizes([BTreeMap<i8, u32>; 3]);
 
+/// From which step on jobs are large, by reading.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits([i8; 3]);
+
+impl Limits {
+    /// Whether a job of this size is large by any reading.
+    #[must_use]
+    pub fn reach(&self, size: Size) -> bool {
+        let readings = self.0.iter().zip(size);
+        readings
+            .into_iter()
+            .any(|(limit, size)| step(size) >= *limit)
+    }
+}
+
 fn step(size: f64) -> i8 {
     let steps = size.max(f64::MIN_POSITIVE).log2() * STEPS;
     steps.clamp(-FURTHEST, FURTHEST) as i8
@@ -59,6 +74,30 @@
         self.0.iter().map(BTreeMap::len).sum()
     }
 
+    /// By reading, the least step from which on those counted here and in `more`
+    /// are such a part of all at most, or the only one.
+    #[must_use]
+    pub fn limits(&self, more: &Self, part: f64) -> Limits {
+        let total = f64::from(self.total()) + f64::from(more.total());
+        let most = (total * part).ceil().max(1.0);
+        let mut limits = [i8::MAX; 3];
+        for (limit, (own, more)) in limits.iter_mut().zip(self.0.iter().zip(&more.0)) {
+            let mut steps: BTreeMap<i8, f64> = BTreeMap::new();
+            for (step, count) in own.iter().chain(more) {
+                *steps.entry(*step).or_default() += f64::from(*count);
+            }
+            let mut above = 0.0;
+            for (step, count) in steps.iter().rev() {
+                above += count;
+                if above > most {
+                    break;
+                }
+                *limit = *step;
+            }
+        }
+        Limits(limits)
+    }
+
     /// Whether a job that is counted here or in `more` is among the largest by
     /// any reading: with those at least as large it is such a part at most, or the
     /// only one.
@@ -93,6 +132,10 @@
         let largest: Vec<u32> = (1..=100)
             .filter(|n| over.is_largest(&open, size(*n), LARGEST))
             .collect();
+        // Worked out once for all, the same.
+        let limits = over.limits(&open, LARGEST);
+        let again: Vec<u32> = (1..=100).filter(|n| limits.reach(size(*n))).collect();
+        assert_eq!(again, largest);
         // By tasks those with the most, by work those with the fewest here; all
         // have tasks of one size, which makes none of them large.
         assert!(largest.contains(&100) && largest.contains(&1));
--- a/crates/tallygauge-sched/src/begins.rs
+++ b/crates/tallygauge-sched/src/begins.rs
@@ -1,12 +1,12 @@
-//! The largest jobs of each class begin within a bound after their acceptance.
+//! The large jobs of each class begin within a bound after their acceptance.
 //!
 //! Of one of which nothing ran for half of that bound, one task comes before all
-//! else: where its team is at its limit, what falls free of that is
-//! kept until it is enough; where no room is as large as the task, the machine
-//! on which one will fall free first is set aside. When little of the bound is
-//! left, all its tasks that never ran come before others, on a part of the
-//! machines. Until they have run for long enough to count, they are stopped for
-//! nobody.
+//! else: where its team is at its limit, what falls free of that is kept until it
+//! is enough; where no room is as large as the task, the machine on which one will
+//! fall free first is set aside. When little of the bound is left, all its tasks
+//! that never ran come before others, on a part of the machines, until the bound
+//! has passed: what can't be met any more gives way. Until they have run for long
+//! enough to count, they are stopped for nobody.
 
 use crate::{cluster::Cluster, model::*};
 use std::collections::BTreeMap;
@@ -21,7 +21,8 @@
 /// and controllers may be down meanwhile.
 const EARLY: f64 = 0.5;
 
-/// Part of the bound after which all tasks that never ran come before others.
+/// Part of the bound after which all tasks of a large job that never ran come
+/// before others.
 const LATE: f64 = 0.7;
 
 /// Part of the machines that may be set aside for jobs that are to begin.
@@ -68,9 +69,11 @@
         if bound <= 0.0 {
             return;
         }
+        let limits = self.floor.book.limits(LARGE);
         let near = |j: &&Job| {
             let near = !j.fresh.is_empty() && now - j.accepted_at > bound * EARLY;
-            near && self.is_large(j)
+            let limits = limits.get(&j.places[0]);
+            near && limits.is_some_and(|l| l.reach(j.size()))
         };
         let mut due: Vec<(f64, String)> = self
             .jobs
@@ -95,7 +98,7 @@
             let turn = Turn {
                 order,
                 wants: !there && job.finished.is_empty(),
-                late: now - accepted_at > bound * LATE,
+                late: (bound * LATE..bound).contains(&(now - accepted_at)),
                 held: job.holds.len(),
             };
             jobs.insert(id, turn);
--- a/crates/tallygauge-sched/src/floor.rs
+++ b/crates/tallygauge-sched/src/floor.rs
@@ -5,7 +5,7 @@
 use crate::{cluster::Cluster, model::*};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use tallygauge_floor::{
-    Book, Candidate, Demand, End, Key, Kind, Level, Places, Record, Size, Tally, elect,
+    Book, Candidate, Demand, End, Key, Kind, LARGEST, Level, Places, Record, Size, Tally, elect,
 };
 use tallygauge_wire::users::Shape;
 
@@ -341,10 +341,15 @@
             return;
         }
         let book = &mut self.floor.book;
-        let largest = self
-            .jobs
-            .values()
-            .map(|j| book.largest(j.places[0], j.size()));
+        let limits = book.limits(LARGEST);
+        let mut places: HashMap<usize, usize> = HashMap::new();
+        for class in limits.keys() {
+            places.insert(*class, book.place_of_largest(*class));
+        }
+        let largest = self.jobs.values().map(|j| {
+            let large = limits.get(&j.places[0])?.reach(j.size());
+            large.then(|| places[&j.places[0]])
+        });
         let largest: Vec<Option<usize>> = largest.collect();
         let named = self.jobs.keys().zip(&largest);
         let named = named.filter_map(|(id, l)| Some((id.clone(), (*l)?)));
--- a/crates/tallygauge-sched/src/tests/begins.rs
+++ b/crates/tallygauge-sched/src/tests/begins.rs
@@ -193,7 +193,7 @@
     c.add_job(spec(1, 9, 1.0), 1, 100.0, &RangeSet::first(8));
     c.jobs.get_mut("req-1").unwrap().finished = RangeSet::default();
     c.add_job(spec(2, 1, 1.0), 1, -200.0, &RangeSet::first(1));
-    // Older, but one of many.
+    // Many others, older than the bound.
     for n in 3..9 {
         c.add_job(spec(n, 1, 1.0), 1, -200.0, &RangeSet::default());
     }
--- a/crates/tallygauge-weights/examples/curve.rs
+++ b/crates/tallygauge-weights/examples/curve.rs
@@ -53,7 +53,9 @@
 }
 
 fn main() {
-    println!("| replicas | zones | risk, s | fetches of {FETCH_S:.0} s | most on a machine | most in a zone |");
+    println!(
+        "| replicas | zones | risk, s | fetches of {FETCH_S:.0} s | most on a machine | most in a zone |"
+    );
     println!("| --- | --- | --- | --- | --- | --- |");
     for (replicas, zones) in [(4, 2), (12, 2), (12, 3), (48, 3)] {
         for risk_s in [0.0, 10.0, 30.0, 60.0, 120.0, 600.0] {
