--- a/crates/tallygauge-sched/src/begins.rs
+++ b/crates/tallygauge-sched/src/begins.rs
@@ -30,7 +30,7 @@
 
 /// Part of the machines that jobs near their bound may use before others, beyond
 /// one task each.
-const MOST_PART: f64 = 0.25;
+const MOST_PART: f64 = 0.1;
 
 /// Jobs that machines are set aside for at a time, at most: looking for them
 /// takes a while.
--- a/crates/tallygauge-sched/src/tests/begins.rs
+++ b/crates/tallygauge-sched/src/tests/begins.rs
@@ -29,9 +29,9 @@
             model.start(at, name);
         }
     }
-    // Then their other tasks, on a quarter of the machines.
+    // Then their other tasks, on a tenth of the machines.
     let usable = c.workers.values().filter(|w| w.usable(now, &c.cfg));
-    let mut left = usable.map(|w| c.types[&w.machine_type].cpus).sum::<f64>() * 0.25;
+    let mut left = usable.map(|w| c.types[&w.machine_type].cpus).sum::<f64>() * 0.1;
     let mut near: Vec<(&String, &crate::begins::Turn)> = c.begins.jobs.iter().collect();
     for (id, _) in &near {
         left -= c.jobs[*id].holds.len() as f64 * c.jobs[*id].spec.cpus;
