Any job begins with one task when hardly anything of its bound is left

Unless the floor binds, one task of such a job now comes first from 0.85 of the bound; nothing is set aside for it.

--- a/crates/tallygauge-sched/src/begins.rs
+++ b/crates/tallygauge-sched/src/begins.rs
@@ -5,7 +5,9 @@
 //! is enough; where no room is as large as the task, the machine on which one will
 //! fall free first is set aside. When little of the bound is left, all its tasks
 //! that never ran come before others, on a part of the machines, until the bound
-//! has passed: what can't be met any more gives way. Until they have run for long
+//! has passed: what can't be met any more gives way. Any other job of which nothing
+//! ran comes first with one task when hardly anything of the bound is left, unless
+//! the floor binds: a task of each of many would keep all from being done. Until they have run for long
 //! enough to count, they are stopped for nobody.
 
 use crate::{cluster::Cluster, model::*};
@@ -25,6 +27,9 @@
 /// before others.
 const LATE: f64 = 0.7;
 
+/// Part of the bound after which any other job that has not begun does.
+const OTHERS: f64 = 0.85;
+
 /// Part of the machines that may be set aside for jobs that are to begin.
 const MOST_ASIDE: f64 = 0.25;
 
@@ -39,14 +44,16 @@
 /// A usable machine, and its attempts by the time until their end.
 type Ends<'a> = (&'a Worker, Vec<(f64, &'a Held)>);
 
-/// A large job that is near its bound, with tasks that have not begun.
+/// A job that is near its bound, with tasks that have not begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Turn {
     /// The one accepted first comes first.
     pub(crate) order: u32,
     /// No task of it is on a machine that is heard of.
     pub(crate) wants: bool,
-    /// Little of the bound is left: all its tasks that never ran come first.
+    /// It is one of the large ones of its class.
+    pub(crate) large: bool,
+    /// It is, and little of the bound is left: all its tasks that never ran come first.
     pub(crate) late: bool,
     /// How many of its tasks were on machines when that was found.
     pub(crate) held: usize,
@@ -70,10 +77,12 @@
             return;
         }
         let limits = self.floor.book.limits(LARGE);
+        let is_large = |j: &Job| limits.get(&j.places[0]).is_some_and(|l| l.reach(j.size()));
+        let calm = self.floor.seats.is_empty();
         let near = |j: &&Job| {
-            let near = !j.fresh.is_empty() && now - j.accepted_at > bound * EARLY;
-            let limits = limits.get(&j.places[0]);
-            near && limits.is_some_and(|l| l.reach(j.size()))
+            let age = now - j.accepted_at;
+            let near = !j.fresh.is_empty() && age > bound * EARLY;
+            near && (is_large(j) || (calm && age > bound * OTHERS && j.finished.is_empty()))
         };
         let mut due: Vec<(f64, String)> = self
             .jobs
@@ -88,17 +97,20 @@
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
+            let large = is_large(job);
+            let has_begun = !begun.is_empty();
             for index in begun {
                 job.fresh.remove(index);
             }
-            if job.fresh.is_empty() {
+            if job.fresh.is_empty() || (has_begun && !large) {
                 continue;
             }
             let order = u32::try_from(jobs.len()).unwrap_or(u32::MAX);
             let turn = Turn {
                 order,
                 wants: !there && job.finished.is_empty(),
-                late: (bound * LATE..bound).contains(&(now - accepted_at)),
+                large,
+                late: large && (bound * LATE..bound).contains(&(now - accepted_at)),
                 held: job.holds.len(),
             };
             jobs.insert(id, turn);
@@ -140,7 +152,7 @@
         let mut aside = BTreeMap::new();
         let mut wanting: Vec<(&Turn, &Job)> = jobs
             .iter()
-            .filter(|(_, turn)| turn.wants)
+            .filter(|(_, turn)| turn.wants && turn.large)
             .filter_map(|(id, turn)| Some((turn, self.jobs.get(id)?)))
             .collect();
         if wanting.is_empty() {
