--- a/crates/tallygauge-sched/src/begins.rs
+++ b/crates/tallygauge-sched/src/begins.rs
@@ -7,10 +7,10 @@
 //! that never ran come before others, on a part of the machines, until the bound
 //! has passed: what can't be met any more gives way. Any other job of which nothing
 //! ran comes first with one task when hardly anything of the bound is left, unless
-//! the floor binds: a task of each of many would keep all from being done. Until they have run for long
-//! enough to count, they are stopped for nobody.
+//! the floor binds: a task of each of many would keep all from being done. Until
+//! they have run for long enough to count, they are stopped for nobody.
 
-use crate::{cluster::Cluster, model::*};
+use crate::{cluster::Cluster, model::*, parts::Turn};
 use std::collections::BTreeMap;
 use tallygauge_wire::{users::START_COUNTS_S, workers::TaskState};
 
@@ -44,30 +44,6 @@
 /// A usable machine, and its attempts by the time until their end.
 type Ends<'a> = (&'a Worker, Vec<(f64, &'a Held)>);
 
-/// A job that is near its bound, with tasks that have not begun.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Turn {
-    /// The one accepted first comes first.
-    pub(crate) order: u32,
-    /// No task of it is on a machine that is heard of.
-    pub(crate) wants: bool,
-    /// It is one of the large ones of its class.
-    pub(crate) large: bool,
-    /// It is, and little of the bound is left: all its tasks that never ran come first.
-    pub(crate) late: bool,
-    /// How many of its tasks were on machines when that was found.
-    pub(crate) held: usize,
-}
-
-/// Jobs that are near their bound.
-#[derive(Debug, Default)]
-pub(crate) struct Begins {
-    pub(crate) jobs: BTreeMap<String, Turn>,
-    /// Machines set aside for them, with the CPUs of the least task that may
-    /// start there.
-    pub(crate) aside: BTreeMap<String, f64>,
-}
-
 impl Cluster {
     /// Looks for jobs that are near their bound. To be called about four times a
     /// report interval.
--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -1,8 +1,11 @@
 //! The leader's picture of jobs, workers and teams.
 
 use crate::{
-    begins::Begins, drains::Drain, floor::Floor, model::*, pages::Pages, placements::before_first,
-    ranges::RangeSet, surplus::Rises, sweep::Sweep, trade::Trade,
+    drains::Drain,
+    model::*,
+    pages::Pages,
+    parts::{Begins, Floor, Rises, Sweep, Trade},
+    ranges::RangeSet,
 };
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
--- a/crates/tallygauge-sched/src/floor.rs
+++ b/crates/tallygauge-sched/src/floor.rs
@@ -2,10 +2,14 @@
 //! behind, which jobs come first for it, and which machines are set aside so
 //! that their tasks find a room of the right size.
 
-use crate::{cluster::Cluster, model::*};
+use crate::{
+    cluster::Cluster,
+    model::*,
+    parts::{Aside, Seat},
+};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use tallygauge_floor::{
-    Book, Candidate, Demand, End, Key, Kind, LARGEST, Level, Places, Record, Size, Tally, elect,
+    Candidate, Demand, End, Key, Kind, LARGEST, Level, Places, Record, Size, Tally, elect,
 };
 use tallygauge_wire::users::Shape;
 
@@ -18,30 +22,9 @@
 /// the more there is, the earlier.
 const EARLY: f64 = 0.7;
 
-/// Length of the shorter window, in patience of the class that has most of it.
-const RECENT_PATIENCES: f64 = 4.0;
-
 /// Part of the share aimed at that nobody may fall below.
 const LEAST: f64 = 0.85;
 
-/// A job that comes first: on behalf of which class, and which of its jobs it
-/// is. Those without which the least part is not reached go before others.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Seat {
-    pub(crate) place: usize,
-    pub(crate) least: bool,
-    pub(crate) order: u32,
-}
-
-/// What a machine is set aside for.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct Aside {
-    /// The class whose jobs come first there.
-    pub(crate) place: usize,
-    /// CPUs of the least task that may start there.
-    pub(crate) least: f64,
-}
-
 impl Job {
     /// How large it is, by each reading.
     pub(crate) fn size(&self) -> Size {
@@ -61,38 +44,6 @@
     }
 }
 
-/// The floor's part of the picture.
-pub(crate) struct Floor {
-    pub(crate) book: Book,
-    /// Time of day less the steady clock.
-    pub(crate) day: f64,
-    /// Jobs that come first, by id.
-    pub(crate) seats: HashMap<String, Seat>,
-    /// Jobs that are among their class's largest, and where those count.
-    pub(crate) largest: HashMap<String, usize>,
-    /// Machines set aside.
-    pub(crate) aside: BTreeMap<String, Aside>,
-    /// Part of the machines that jobs which come first may use.
-    pub(crate) part: f64,
-    demands: Vec<Demand>,
-}
-
-impl Floor {
-    pub(crate) fn new(cfg: &Config) -> Self {
-        let longest = cfg.aims.values().filter_map(|a| a.within_s);
-        let longest = longest.fold(cfg.lease_s, f64::max);
-        Self {
-            book: Book::new(longest * RECENT_PATIENCES),
-            day: 0.0,
-            seats: HashMap::new(),
-            largest: HashMap::new(),
-            aside: BTreeMap::new(),
-            part: 0.0,
-            demands: Vec::new(),
-        }
-    }
-}
-
 /// How long it takes to do all that is open, by what bounds it: the team's
 /// limit, the machines that are large enough, a zone.
 struct Pressure<'a> {
--- a/crates/tallygauge-sched/src/lib.rs
+++ b/crates/tallygauge-sched/src/lib.rs
@@ -15,6 +15,7 @@
 mod mapping;
 mod model;
 mod pages;
+mod parts;
 mod placements;
 mod progress;
 mod ranges;
--- a/crates/tallygauge-sched/src/mapping/rooms.rs
+++ b/crates/tallygauge-sched/src/mapping/rooms.rs
@@ -10,8 +10,8 @@
     round::{Round, Waiting},
 };
 use crate::{
-    floor::Aside,
     model::*,
+    parts::Aside,
     weights::{apart_in, is_replicated},
 };
 use std::collections::BinaryHeap;
--- a/crates/tallygauge-sched/src/mapping/round.rs
+++ b/crates/tallygauge-sched/src/mapping/round.rs
@@ -8,8 +8,8 @@
 };
 use crate::{
     cluster::{Cluster, Ledger},
-    floor::{Aside, Seat},
     model::*,
+    parts::{Aside, Seat},
     weights::is_replicated,
 };
 use std::{
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -716,6 +716,15 @@
     pub tasks: Vec<(usize, u32, u64, u32)>,
 }
 
+/// Attempts are numbered within the term, so that they never repeat; tokens
+/// and attempts stay whole numbers in any JSON reader.
+pub(crate) const ATTEMPT_BITS: u32 = 28;
+
+/// The attempt before the first of a term.
+pub(crate) fn before_first(term: u64) -> u64 {
+    (term << ATTEMPT_BITS) + 1
+}
+
 /// Place of a priority in the worth steps.
 #[must_use]
 pub fn step(priority: Priority) -> usize {
--- a/crates/tallygauge-sched/src/placements.rs
+++ b/crates/tallygauge-sched/src/placements.rs
@@ -19,15 +19,6 @@
     pub jobs: Vec<(String, u64)>,
 }
 
-/// Attempts are numbered within the term, so that they never repeat; tokens
-/// and attempts stay whole numbers in any JSON reader.
-const ATTEMPT_BITS: u32 = 28;
-
-/// The attempt before the first of a term.
-pub(crate) fn before_first(term: u64) -> u64 {
-    (term << ATTEMPT_BITS) + 1
-}
-
 /// Bytes around the values of a record's entries, at most: keys, quotes,
 /// brackets and numbers.
 const TASK_BYTES: usize = 32;
--- a/crates/tallygauge-sched/src/surplus.rs
+++ b/crates/tallygauge-sched/src/surplus.rs
@@ -5,41 +5,11 @@
 //! Surplus ones, dear and little used first, are the last choice for new tasks,
 //! and go as soon as they are empty.
 
-use crate::{cluster::Cluster, model::*};
-use std::collections::VecDeque;
+use crate::{cluster::Cluster, model::*, parts::Rises};
 
 /// A machine that is returned earlier is charged for this long all the same.
 const LEAST_CHARGE_S: f64 = 60.0;
 
-/// Boot times over which rises of demand are remembered.
-const MEMORY_BOOTS: f64 = 6.0;
-
-/// Demand over time, and what it rose by within a boot.
-#[derive(Debug, Default)]
-pub(crate) struct Rises {
-    /// Time and CPUs wanted.
-    demand: VecDeque<(f64, f64)>,
-    /// Time and rise.
-    rises: VecDeque<(f64, f64)>,
-}
-
-impl Rises {
-    /// Notes demand, and returns the greatest rise that is remembered.
-    fn note(&mut self, now: f64, demand: f64, boot_s: f64) -> f64 {
-        while self.demand.front().is_some_and(|d| d.0 < now - boot_s) {
-            self.demand.pop_front();
-        }
-        self.demand.push_back((now, demand));
-        let least = self.demand.iter().map(|d| d.1).fold(demand, f64::min);
-        let horizon = now - boot_s * MEMORY_BOOTS;
-        while self.rises.front().is_some_and(|r| r.0 < horizon) {
-            self.rises.pop_front();
-        }
-        self.rises.push_back((now, demand - least));
-        self.rises.iter().map(|r| r.1).fold(0.0, f64::max)
-    }
-}
-
 impl Cluster {
     /// Marks the machines that are surplus. To be called about once a report
     /// interval.
--- a/crates/tallygauge-sched/src/sweep.rs
+++ b/crates/tallygauge-sched/src/sweep.rs
@@ -5,15 +5,6 @@
 use crate::{cluster::Cluster, model::*, ranges::RangeSet};
 use std::collections::BTreeMap;
 
-/// Where the sweep stands.
-#[derive(Debug, Default)]
-pub(crate) struct Sweep {
-    /// The job looked at last.
-    job: String,
-    /// The machine looked at last.
-    machine: String,
-}
-
 impl Cluster {
     /// Looks at the next `most` jobs and machines. Returns what differed, in
     /// words; it is mended.
--- a/crates/tallygauge-sched/src/tests/begins.rs
+++ b/crates/tallygauge-sched/src/tests/begins.rs
@@ -9,7 +9,7 @@
 /// may use; then all others by UPT, without what is kept for those.
 fn plain_with_begins(c: &Cluster, now: f64) -> Vec<(String, u32, String)> {
     let mut model = Plain::new(c, now);
-    let mut turns: Vec<(&String, &crate::begins::Turn)> = c.begins.jobs.iter().collect();
+    let mut turns: Vec<(&String, &crate::parts::Turn)> = c.begins.jobs.iter().collect();
     turns.retain(|t| t.1.wants && c.jobs[t.0].holds.len() <= t.1.held);
     turns.sort_by_key(|t| t.1.order);
     for (id, _) in turns {
@@ -32,7 +32,7 @@
     // Then their other tasks, on a tenth of the machines.
     let usable = c.workers.values().filter(|w| w.usable(now, &c.cfg));
     let mut left = usable.map(|w| c.types[&w.machine_type].cpus).sum::<f64>() * 0.1;
-    let mut near: Vec<(&String, &crate::begins::Turn)> = c.begins.jobs.iter().collect();
+    let mut near: Vec<(&String, &crate::parts::Turn)> = c.begins.jobs.iter().collect();
     for (id, _) in &near {
         left -= c.jobs[*id].holds.len() as f64 * c.jobs[*id].spec.cpus;
     }
@@ -225,7 +225,7 @@
         6
     );
     assert!(c.begins.aside.is_empty());
-    let seat = crate::floor::Seat {
+    let seat = crate::parts::Seat {
         place: 0,
         least: true,
         order: 0,
--- a/crates/tallygauge-sched/src/tests/floor.rs
+++ b/crates/tallygauge-sched/src/tests/floor.rs
@@ -1,7 +1,7 @@
 //! The floor in the mapping.
 
 use super::*;
-use crate::floor::Seat;
+use crate::parts::Seat;
 
 /// Jobs that come first, as plainly as it can be said: while there is room that
 /// they may use, look at all of them, and start a task of the class that has
@@ -111,7 +111,7 @@
         for (name, (kept, large)) in names.iter().zip(aside) {
             if kept {
                 let least = if large { 3.0 } else { 1.5 };
-                c.floor.aside.insert((*name).to_string(), crate::floor::Aside { place, least });
+                c.floor.aside.insert((*name).to_string(), crate::parts::Aside { place, least });
             }
         }
         c.floor.part = part;
--- a/crates/tallygauge-sched/src/trade.rs
+++ b/crates/tallygauge-sched/src/trade.rs
@@ -19,18 +19,6 @@
 /// Leases in the stretch that drawn cutoffs are gathered in.
 const STRETCH_LEASES: f64 = 8.0;
 
-/// The trade's part of the picture.
-#[derive(Debug, Default)]
-pub(crate) struct Trade {
-    rules: Vec<Rule>,
-    /// Cutoffs drawn from jobs raise them as well.
-    act_on_drawn: bool,
-    book: Book,
-    ledger: Ledger,
-    /// How open cutoffs stand, as last looked at.
-    verdicts: BTreeMap<Arc<str>, Verdict>,
-}
-
 /// What a cutoff still needs.
 #[derive(Default)]
 struct Need {
