--- /dev/null
+++ b/crates/tallygauge/src/follow.rs
@@ -0,0 +1,29 @@
+//! What becomes of open jobs' records, taken up into the picture.
+
+use crate::users::OpenRecord;
+use tallygauge_sched::{Cluster, RangeSet};
+use tallygauge_wire::state::Change;
+
+/// Takes a change of an open job's record up into the picture.
+pub fn apply(cluster: &mut Cluster, change: Change, now: f64, time_of_day: f64) {
+    match change {
+        Change::Set {
+            value,
+            version,
+            key,
+        } => match serde_json::from_value::<OpenRecord>(value) {
+            Ok(record) => {
+                let accepted = now - (time_of_day - record.at).max(0.0);
+                let id = record.spec.id.clone();
+                cluster.add_job(record.spec, version, accepted, &RangeSet::default());
+                cluster.accepted(&id, record.at);
+            }
+            Err(error) => tracing::error!(%error, key, "an open job can't be read"),
+        },
+        Change::Remove { key, .. } => {
+            if let Some(id) = key.strip_prefix("o/") {
+                cluster.remove_job(id, now);
+            }
+        }
+    }
+}
--- a/crates/tallygauge/src/leader.rs
+++ b/crates/tallygauge/src/leader.rs
@@ -1,7 +1,7 @@
 //! Leadership: winning a term, keeping it, and loading the picture.
 
 use crate::{
-    cloud, control, kept,
+    cloud, control, follow, kept,
     node::{LEADER_KEY, Lead, Node, TERM_KEY},
     sweep,
     trade::Calendar,
@@ -370,7 +370,7 @@
                     lead.followed = revision;
                     if let Some(cluster) = lead.cluster.as_mut() {
                         for change in changes.news {
-                            apply(cluster, change, now, time_of_day);
+                            follow::apply(cluster, change, now, time_of_day);
                         }
                     }
                 }
@@ -398,7 +398,7 @@
                                 value: row.value,
                                 version: row.version,
                             };
-                            apply(cluster, change, now, time_of_day);
+                            follow::apply(cluster, change, now, time_of_day);
                         }
                     });
                     revision = at;
@@ -413,27 +413,3 @@
         }
     }
 }
-
-/// Takes a change of an open job's record up into the picture.
-pub fn apply(cluster: &mut Cluster, change: Change, now: f64, time_of_day: f64) {
-    match change {
-        Change::Set {
-            value,
-            version,
-            key,
-        } => match serde_json::from_value::<OpenRecord>(value) {
-            Ok(record) => {
-                let accepted = now - (time_of_day - record.at).max(0.0);
-                let id = record.spec.id.clone();
-                cluster.add_job(record.spec, version, accepted, &RangeSet::default());
-                cluster.accepted(&id, record.at);
-            }
-            Err(error) => tracing::error!(%error, key, "an open job can't be read"),
-        },
-        Change::Remove { key, .. } => {
-            if let Some(id) = key.strip_prefix("o/") {
-                cluster.remove_job(id, now);
-            }
-        }
-    }
-}
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -6,10 +6,12 @@
 pub mod cloud;
 pub mod control;
 pub mod floor;
+pub mod follow;
 pub mod kept;
 pub mod leader;
 pub mod node;
 pub mod peers;
+pub mod relay;
 pub mod server;
 pub mod settings;
 pub mod sockets;
--- a/crates/tallygauge/src/node.rs
+++ b/crates/tallygauge/src/node.rs
@@ -1,6 +1,6 @@
 //! What the parts of a controller share.
 
-use crate::{settings::Settings, sockets::Sockets, tuning::Tuning, users::Relay};
+use crate::{relay::Relay, settings::Settings, sockets::Sockets, tuning::Tuning};
 use std::{
     collections::{BTreeSet, HashMap, VecDeque},
     sync::{Arc, Mutex, MutexGuard},
--- a/crates/tallygauge/src/sweep.rs
+++ b/crates/tallygauge/src/sweep.rs
@@ -1,7 +1,7 @@
 //! The slow sweep of the daemon: open jobs on record against the picture, and
 //! the picture against itself. What is found is said and mended.
 
-use crate::{leader, node::Node};
+use crate::{follow, node::Node};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -76,7 +76,7 @@
                 version: row.version,
             };
             let jobs = cluster.jobs.len();
-            leader::apply(cluster, change, now, time_of_day);
+            follow::apply(cluster, change, now, time_of_day);
             if cluster.jobs.len() > jobs {
                 counts.0 += 1;
                 tracing::warn!(key, "the sweep mends: an open job was not in the picture");
--- a/crates/tallygauge/src/users.rs
+++ b/crates/tallygauge/src/users.rs
@@ -1,9 +1,11 @@
 //! The users' interface: submissions, questions, cancellations.
 
+pub use crate::relay::{Passing, Relay};
+
 use crate::node::{Known, Node, Query, open_key, over_key};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::{future::Future, pin::Pin, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 use tallygauge_sched::check_feasible;
 use tallygauge_state::{Class, Error, Outcome};
 use tallygauge_wire::{
@@ -84,15 +86,6 @@
     }
 }
 
-/// Another node's answer on its way: status and body; `None` if none can.
-pub type Passing<'a> = Pin<Box<dyn Future<Output = Option<(u16, Vec<u8>)>> + Send + 'a>>;
-
-/// Something that passes users' requests on to other nodes.
-pub trait Relay: Send + Sync {
-    /// Asks other nodes.
-    fn pass<'a>(&'a self, method: &'a Method, path: &'a str, body: &'a [u8]) -> Passing<'a>;
-}
-
 /// Answers a user, through another node where the state service does not serve
 /// this one. Nothing is kept waiting: who can't be answered is told at once.
 pub async fn serve(node: &Node, method: &Method, path: &str, body: &[u8]) -> Option<Reply> {
