--- a/crates/tallygauge-floor/src/book.rs
+++ b/crates/tallygauge-floor/src/book.rs
@@ -220,7 +220,7 @@
     #[must_use]
     pub fn is_large(&self, class: usize, size: Size, part: f64) -> bool {
         let sizes = self.sizes.get(&class);
-        sizes.is_some_and(|[over, open]| over.is_largest(open, size, part))
+        sizes.is_some_and(|[over, open]| over.limits(open, part).reach(size))
     }
 
     /// All classes and teams, by place.
--- a/crates/tallygauge-floor/src/elect.rs
+++ b/crates/tallygauge-floor/src/elect.rs
@@ -100,10 +100,8 @@
             candidate,
             least: true,
         });
-        for place in places.iter() {
-            need[place] = need[place].saturating_sub(1);
-            least[place] = least[place].saturating_sub(1);
-        }
+        seat(places, &mut need);
+        seat(places, &mut least);
     }
     // Then what the largest are short of.
     rest.retain(|candidate| {
@@ -116,10 +114,8 @@
             candidate: *candidate,
             least: false,
         });
-        for place in places.iter() {
-            need[place] = need[place].saturating_sub(1);
-            least[place] = least[place].saturating_sub(1);
-        }
+        seat(places, &mut need);
+        seat(places, &mut least);
         false
     });
     rest.sort_by(|a, b| jobs[*a].late.cmp(&jobs[*b].late).then(work(a, b)));
@@ -132,13 +128,19 @@
             candidate,
             least: false,
         });
-        for place in places.iter() {
-            need[place] = need[place].saturating_sub(1);
-        }
+        seat(places, &mut need);
     }
     Election { demands, seats }
 }
 
+/// One that comes first is one that its class, its team and its class's largest
+/// are short of no more.
+fn seat(places: Places, short: &mut [u32]) {
+    for place in places.iter() {
+        short[place] = short[place].saturating_sub(1);
+    }
+}
+
 /// Overdue jobs that show that a class or team is behind; fewer may be chance.
 const TELLING: u32 = 4;
 
--- a/crates/tallygauge-floor/src/sizes.rs
+++ b/crates/tallygauge-floor/src/sizes.rs
@@ -97,30 +97,31 @@
         }
         Limits(limits)
     }
-
-    /// Whether a job that is counted here or in `more` is among the largest by
-    /// any reading: with those at least as large it is such a part at most, or the
-    /// only one.
-    #[must_use]
-    pub fn is_largest(&self, more: &Self, size: Size, part: f64) -> bool {
-        let total = f64::from(self.total()) + f64::from(more.total());
-        let most = (total * part).ceil().max(1.0);
-        let readings = self.0.iter().zip(&more.0).zip(size);
-        readings.into_iter().any(|((own, more), size)| {
-            let from = step(size);
-            let above = |counts: &BTreeMap<i8, u32>| {
-                let above = counts.range(from..).map(|c| f64::from(*c.1));
-                above.sum::<f64>()
-            };
-            above(own) + above(more) <= most
-        })
-    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    /// Whether a job is among the largest, counted one by one: with those at least
+    /// as large by some reading it is a tenth at most, or the only one.
+    fn plain(over: &Sizes, open: &Sizes, size: Size) -> bool {
+        let total = f64::from(over.total() + open.total());
+        let most = (total * LARGEST).ceil().max(1.0);
+        let readings = over.0.iter().zip(&open.0).zip(size);
+        readings.into_iter().any(|((over, open), size)| {
+            let all = over.iter().chain(open);
+            let above = all.filter(|c| *c.0 >= step(size)).map(|c| f64::from(*c.1));
+            above.sum::<f64>() <= most
+        })
+    }
+
+    fn is_largest(over: &Sizes, open: &Sizes, size: Size) -> bool {
+        let large = over.limits(open, LARGEST).reach(size);
+        assert_eq!(large, plain(over, open, size));
+        large
+    }
+
     #[test]
     fn a_tenth_is_largest_by_each_reading() {
         let (mut over, mut open) = (Sizes::default(), Sizes::default());
@@ -130,7 +131,7 @@
             sizes.add(size(n));
         }
         let largest: Vec<u32> = (1..=100)
-            .filter(|n| over.is_largest(&open, size(*n), LARGEST))
+            .filter(|n| plain(&over, &open, size(*n)))
             .collect();
         // Worked out once for all, the same.
         let limits = over.limits(&open, LARGEST);
@@ -151,10 +152,10 @@
     fn at_least_one_is_largest_and_it_stays_small() {
         let mut sizes = Sizes::default();
         sizes.add([1.0, 5.0, 2.0]);
-        assert!(sizes.is_largest(&Sizes::default(), [1.0, 5.0, 2.0], LARGEST));
+        assert!(is_largest(&sizes, &Sizes::default(), [1.0, 5.0, 2.0]));
         sizes.add([4.0, 5.0, 2.0]);
-        assert!(sizes.is_largest(&Sizes::default(), [4.0, 5.0, 2.0], LARGEST));
-        assert!(!sizes.is_largest(&Sizes::default(), [1.0, 5.0, 2.0], LARGEST));
+        assert!(is_largest(&sizes, &Sizes::default(), [4.0, 5.0, 2.0]));
+        assert!(!is_largest(&sizes, &Sizes::default(), [1.0, 5.0, 2.0]));
         for n in 0..100_000u32 {
             let size = 10f64.powi(n as i32 % 600 - 300);
             sizes.add([size, size * 3.0, 0.0]);
--- a/crates/tallygauge-kept/src/lib.rs
+++ b/crates/tallygauge-kept/src/lib.rs
@@ -12,5 +12,5 @@
 mod record;
 mod shelf;
 
-pub use record::{Found, Record, Timing, read, value_of};
+pub use record::{Found, Record, Timing, name_of, read, value_of};
 pub use shelf::{Item, Parcel, Shelf, Shown};
--- a/crates/tallygauge-kept/src/record.rs
+++ b/crates/tallygauge-kept/src/record.rs
@@ -57,6 +57,15 @@
     }
 }
 
+/// Name of a record, or of one of its parts.
+#[must_use]
+pub fn name_of<T: Record>(part: Option<usize>) -> String {
+    match part {
+        None => T::NAME.to_string(),
+        Some(part) => format!("{}/{part}", T::NAME),
+    }
+}
+
 /// Takes up what was found under a record's key.
 #[must_use]
 pub fn read<T: Record>(found: Option<Value>) -> Found<T> {
--- a/crates/tallygauge-kept/src/shelf.rs
+++ b/crates/tallygauge-kept/src/shelf.rs
@@ -1,6 +1,6 @@
 //! What is to be written, and when.
 
-use crate::record::{Record, Timing, value_of};
+use crate::record::{Record, Timing, name_of, value_of};
 use serde_json::Value;
 use std::collections::BTreeMap;
 
@@ -77,10 +77,7 @@
         record: &T,
         at: f64,
     ) -> Result<bool, String> {
-        let name = match part {
-            None => T::NAME.to_string(),
-            Some(part) => format!("{}/{part}", T::NAME),
-        };
+        let name = name_of::<T>(part);
         let value = value_of(record, at)?;
         let same = |slot: &Slot| same_but_time(&slot.wanted, &value);
         if self.slots.get(&name).is_some_and(same) {
@@ -111,18 +108,6 @@
         Ok(true)
     }
 
-    /// What was found on record when this shelf began: it need not be written
-    /// again until it changes.
-    pub fn found<T: Record>(&mut self, part: Option<usize>, record: &T, at: f64, now: f64) {
-        if let Ok(true) = self.put(part, record, at) {
-            let name = part.map_or(T::NAME.to_string(), |p| format!("{}/{p}", T::NAME));
-            if let Some(slot) = self.slots.get_mut(&name) {
-                slot.durable = Some(slot.turn);
-                slot.written_at = now;
-            }
-        }
-    }
-
     /// A record as it was last put.
     #[must_use]
     pub fn wanted<T: Record>(&self) -> Option<T> {
@@ -282,7 +267,9 @@
     #[test]
     fn what_is_too_long_is_said_once_and_what_was_before_stays() {
         let mut shelf = Shelf::new(100);
-        shelf.found(None, &behind(10), 1.0, 1.0);
+        assert_eq!(shelf.put(None, &behind(10), 1.0), Ok(true));
+        let parcel = shelf.parcel(9, 999, false).unwrap();
+        shelf.written(&parcel, 1.0);
         assert!(shelf.is_durable("behind") && shelf.parcel(9, 999, false).is_none());
         assert!(shelf.put(None, &behind(300), 2.0).is_err());
         assert_eq!(shelf.put(None, &behind(301), 2.0), Ok(false));
--- a/crates/tallygauge-sched/src/begins.rs
+++ b/crates/tallygauge-sched/src/begins.rs
@@ -109,7 +109,7 @@
             return (begun, there);
         };
         for worker in job.on.keys().filter_map(|w| self.workers.get(w)) {
-            let heard = now - worker.heard_at.max(self.term_at) < self.cfg.report_s * 2.5;
+            let heard = now - worker.heard_at.max(self.term_at) < self.cfg.quiet_s();
             let ours = |h: &&Held| h.spec.id == id && h.occupies();
             for held in worker.held.iter().filter(ours) {
                 there |= heard && held.stop.is_none();
@@ -135,9 +135,7 @@
             return aside;
         }
         wanting.sort_by_key(|w| w.0.order);
-        let waits = |j: &&Job| !j.waiting.is_empty() || !j.resumes.is_empty();
-        let smallest = self.jobs.values().filter(waits);
-        let smallest = smallest.map(|j| j.spec.cpus).fold(f64::MAX, f64::min);
+        let smallest = self.smallest_that_waits();
         wanting.retain(|w| w.1.spec.cpus > smallest + EPS);
         wanting.truncate(MOST_CALLED);
         if wanting.is_empty() {
@@ -186,20 +184,19 @@
     /// a task of the job; `None`: never. One that is set aside already is taken
     /// for a little better, lest what fell free there is given away.
     fn room_after(&self, (w, ends): &Ends, used: Room, job: &Job) -> Option<f64> {
-        let mut room = w.free;
-        room.cpus -= used.cpus;
-        room.gpus -= used.gpus;
-        room.memory_gb -= used.memory_gb;
+        let left = |room: Room| Room {
+            cpus: room.cpus - used.cpus,
+            gpus: room.gpus - used.gpus,
+            memory_gb: room.memory_gb - used.memory_gb,
+        };
+        let mut room = left(w.free);
         let kept = self.begins.aside.contains_key(&w.name);
         let lead = if kept { self.cfg.report_s } else { 0.0 };
         if room.holds(&job.spec) {
             return Some(-lead);
         }
-        let mut whole = Room::of_type(self.types.get(&w.machine_type)?);
-        whole.cpus -= used.cpus;
-        whole.gpus -= used.gpus;
-        whole.memory_gb -= used.memory_gb;
-        if !whole.holds(&job.spec) {
+        let whole = Room::of_type(self.types.get(&w.machine_type)?);
+        if !left(whole).holds(&job.spec) {
             return None;
         }
         for (after, held) in ends {
--- a/crates/tallygauge-sched/src/floor.rs
+++ b/crates/tallygauge-sched/src/floor.rs
@@ -165,7 +165,7 @@
         turns: bool,
         now: f64,
     ) -> Candidate {
-        let waits = !job.waiting.is_empty() || !job.resumes.is_empty();
+        let waits = job.waits();
         let age = now - job.accepted_at;
         let due = self.patience_s(job);
         // A job that is large takes long whatever is done.
@@ -343,9 +343,9 @@
         // Each class that is behind has an equal part, and so has all work of
         // the others together.
         let behind: BTreeSet<usize> = seats.values().map(|s: &Seat| s.place).collect();
-        let others = works.iter().any(|(j, _, _)| {
-            !behind.contains(&j.places[0]) && (!j.waiting.is_empty() || !j.resumes.is_empty())
-        });
+        let others = works
+            .iter()
+            .any(|(j, _, _)| !behind.contains(&j.places[0]) && j.waits());
         let parties = behind.len() + usize::from(others);
         let part = behind.len() as f64 / parties.max(1) as f64;
         let aside = self.set_aside(&elected, &seats, part, now);
@@ -392,11 +392,9 @@
         now: f64,
     ) -> BTreeMap<String, Aside> {
         let mut aside = BTreeMap::new();
-        let waits = |j: &&Job| !j.waiting.is_empty() || !j.resumes.is_empty();
-        let smallest = self.jobs.values().filter(|j| waits(j));
-        let smallest = smallest.map(|j| j.spec.cpus).fold(f64::MAX, f64::min);
+        let smallest = self.smallest_that_waits();
         let mut large: BTreeMap<usize, Vec<&Job>> = BTreeMap::new();
-        for job in elected.iter().filter(|j| waits(j)) {
+        for job in elected.iter().filter(|j| j.waits()) {
             if job.spec.cpus > smallest + EPS {
                 let place = seats[&job.spec.id].place;
                 large.entry(place).or_default().push(job);
@@ -462,6 +460,12 @@
         aside
     }
 
+    /// CPUs of the smallest task that waits.
+    pub(crate) fn smallest_that_waits(&self) -> f64 {
+        let waiting = self.jobs.values().filter(|j| j.waits());
+        waiting.map(|j| j.spec.cpus).fold(f64::MAX, f64::min)
+    }
+
     /// Machines that are set aside.
     #[must_use]
     pub fn aside(&self) -> usize {
--- a/crates/tallygauge-sched/src/ledgers.rs
+++ b/crates/tallygauge-sched/src/ledgers.rs
@@ -25,9 +25,7 @@
         }
         for held in self.take_off(name, |h| h.session <= last) {
             if held.occupies() {
-                let saved = self.saved_after_loss(&held, now);
-                self.vacate(name, &held, now);
-                self.requeue(&held, saved, name, 0.0);
+                self.lose(name, &held, now);
                 self.events.push((
                     false,
                     format!("{} is lost with a session of {name}", held.task_name()),
@@ -38,6 +36,14 @@
         }
     }
 
+    /// An attempt that was taken off its worker is lost without a word: its task
+    /// waits again.
+    pub(crate) fn lose(&mut self, name: &str, held: &Held, now: f64) {
+        let saved = self.saved_after_loss(held, now);
+        self.vacate(name, held, now);
+        self.requeue(held, saved, name, 0.0);
+    }
+
     /// Progress that is left when an attempt is lost without a word.
     pub(crate) fn saved_after_loss(&self, held: &Held, now: f64) -> f64 {
         let every = held.spec.checkpoint_every_s;
--- a/crates/tallygauge-sched/src/mapping/round.rs
+++ b/crates/tallygauge-sched/src/mapping/round.rs
@@ -170,11 +170,12 @@
         types.sort_by(|a, b| a.name.cmp(&b.name));
         let mut slots = Vec::with_capacity(c.workers.len());
         let usable = c.workers.values().filter(|w| w.usable(now, &c.cfg));
-        let sites: BTreeSet<&str> = usable.map(|w| w.zone.as_str()).collect();
+        let usable: Vec<&Worker> = usable.collect();
+        let sites: BTreeSet<&str> = usable.iter().map(|w| w.zone.as_str()).collect();
         let sites: Vec<&str> = sites.into_iter().collect();
         let mut leaving = vec![Ledger::default(); c.cfg.teams.len()];
         let mut making = BTreeSet::new();
-        for worker in c.workers.values().filter(|w| w.usable(now, &c.cfg)) {
+        for worker in usable {
             let named = types.binary_search_by(|t| t.name.as_str().cmp(&worker.machine_type));
             let Ok(of_type) = named else { continue };
             let of_zone = sites.binary_search(&worker.zone.as_str()).unwrap_or(0);
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -98,6 +98,12 @@
         self.report_s * 0.2
     }
 
+    /// Seconds after which a worker that said nothing is out of reach.
+    #[must_use]
+    pub fn quiet_s(&self) -> f64 {
+        self.report_s * 2.5
+    }
+
     /// `seconds` of another machine's clock, at most, on ours.
     #[must_use]
     pub fn stretched(&self, seconds: f64) -> f64 {
@@ -428,6 +434,11 @@
         self.spec.shape == Shape::Array && self.finished.len() == self.spec.tasks
     }
 
+    /// Whether a task of it waits.
+    pub(crate) fn waits(&self) -> bool {
+        !self.waiting.is_empty() || !self.resumes.is_empty()
+    }
+
     /// Tasks that are not done.
     #[must_use]
     pub fn unfinished(&self) -> u32 {
@@ -584,7 +595,7 @@
             && self.leaving.is_none()
             && self.notice_until.is_none()
             && self.drained.is_none()
-            && now - self.heard_at < cfg.report_s * 2.5
+            && now - self.heard_at < cfg.quiet_s()
             && self.hearing.trusted(now, &cfg.hearing())
     }
 
--- a/crates/tallygauge-sched/src/reports.rs
+++ b/crates/tallygauge-sched/src/reports.rs
@@ -62,10 +62,7 @@
         if report.session <= worker.dead_session {
             return Verdict::Dead;
         }
-        let mark = Mark {
-            session: report.session,
-            seq: report.seq,
-        };
+        let mark = mark_of(report);
         match worker.order.place(mark, now, ANSWER_WAIT_S) {
             Place::New => {}
             Place::Overtaken => return Verdict::Overtaken,
@@ -87,7 +84,7 @@
         worker.token = worker.token.max(report.token);
         // What was held back on the way comes all at once, and shows nothing of
         // how its worker heard us.
-        if now - worker.heard_at > self.cfg.report_s * 2.5 {
+        if now - worker.heard_at > self.cfg.quiet_s() {
             worker.steady_since = now;
         }
         self.weigh(now, report, source);
@@ -162,10 +159,7 @@
         if report.token > self.cfg.term {
             return Verdict::Deposed(report.token);
         }
-        let mark = Mark {
-            session: report.session,
-            seq: report.seq,
-        };
+        let mark = mark_of(report);
         if mark.begun_again_since(message.before) {
             self.begun_again(&report.machine, Some(report), now);
             return Verdict::Dead;
@@ -266,9 +260,7 @@
             h.phase != Phase::Planned && h.direct_pending == 0 && !h.uncertain && !there(h)
         });
         for held in gone.iter().filter(|h| h.occupies()) {
-            let saved = self.saved_after_loss(held, now);
-            self.vacate(name, held, now);
-            self.requeue(held, saved, name, 0.0);
+            self.lose(name, held, now);
         }
     }
 
@@ -298,12 +290,8 @@
                     Phase::On(_) | Phase::Ended(_) => true,
                 }
         });
-        for held in absent {
-            if held.occupies() {
-                let saved = self.saved_after_loss(&held, now);
-                self.vacate(name, &held, now);
-                self.requeue(&held, saved, name, 0.0);
-            }
+        for held in absent.iter().filter(|h| h.occupies()) {
+            self.lose(name, held, now);
         }
         let mut strays = Vec::new();
         for task in &report.tasks {
@@ -581,6 +569,14 @@
         })
 }
 
+/// A report's place among its worker's messages.
+fn mark_of(report: &Report) -> Mark {
+    Mark {
+        session: report.session,
+        seq: report.seq,
+    }
+}
+
 /// Job id and task number.
 fn split_task(name: &str) -> Option<(&str, u32)> {
     let (id, index) = name.rsplit_once('/')?;
--- a/crates/tallygauge-sched/src/sweep.rs
+++ b/crates/tallygauge-sched/src/sweep.rs
@@ -3,35 +3,32 @@
 //! and mended; nothing here is needed as long as all else is right.
 
 use crate::{cluster::Cluster, model::*, ranges::RangeSet};
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::Bound,
+};
+
+/// The next `most` names after the last one, which they move on; from the
+/// beginning again when there are no more.
+fn turn<T>(all: &BTreeMap<String, T>, last: &mut String, most: usize) -> Vec<String> {
+    let after = (Bound::Excluded(last.clone()), Bound::Unbounded);
+    let names: Vec<String> = all.range(after).take(most).map(|n| n.0.clone()).collect();
+    *last = match names.last() {
+        Some(name) if names.len() == most => name.clone(),
+        _ => String::new(),
+    };
+    names
+}
 
 impl Cluster {
     /// Looks at the next `most` jobs and machines. Returns what differed, in
     /// words; it is mended.
     pub fn sweep(&mut self, most: usize) -> Vec<String> {
         let mut found = Vec::new();
-        let next = |after: &str| {
-            (
-                std::ops::Bound::Excluded(after.to_string()),
-                std::ops::Bound::Unbounded,
-            )
-        };
-        let machines = self.workers.range(next(&self.sweep.machine)).take(most);
-        let machines: Vec<String> = machines.map(|w| w.0.clone()).collect();
-        self.sweep.machine = match machines.last() {
-            Some(last) if machines.len() == most => last.clone(),
-            _ => String::new(),
-        };
-        for name in machines {
+        for name in turn(&self.workers, &mut self.sweep.machine, most) {
             self.sweep_machine(&name, &mut found);
         }
-        let jobs = self.jobs.range(next(&self.sweep.job)).take(most);
-        let jobs: Vec<String> = jobs.map(|j| j.0.clone()).collect();
-        self.sweep.job = match jobs.last() {
-            Some(last) if jobs.len() == most => last.clone(),
-            _ => String::new(),
-        };
-        for id in jobs {
+        for id in turn(&self.jobs, &mut self.sweep.job, most) {
             self.sweep_job(&id, &mut found);
         }
         if !found.is_empty() {
@@ -150,10 +147,9 @@
         }
     }
 
-    /// Ids of the open jobs in the picture, with the versions of their records.
+    /// Ids of the open jobs in the picture.
     #[must_use]
-    pub fn open_jobs(&self) -> Vec<(String, u64)> {
-        let jobs = self.jobs.iter();
-        jobs.map(|(id, job)| (id.clone(), job.version)).collect()
+    pub fn open_jobs(&self) -> BTreeSet<String> {
+        self.jobs.keys().cloned().collect()
     }
 }
--- a/crates/tallygauge-sched/src/trade.rs
+++ b/crates/tallygauge-sched/src/trade.rs
@@ -5,7 +5,7 @@
 //! decides the order among what waits.
 
 use crate::{cluster::Cluster, model::*};
-use std::{collections::BTreeMap, sync::Arc};
+use std::collections::BTreeMap;
 use tallygauge_calendar::{Book, Due, Event, Load, Rule, Verdict, drawn, verdicts};
 use tallygauge_ledger::{HIGHEST, Ledger};
 
@@ -20,9 +20,8 @@
 const STRETCH_LEASES: f64 = 8.0;
 
 /// What a cutoff still needs.
-#[derive(Default)]
-struct Need {
-    due: Option<Due>,
+struct Need<'a> {
+    due: &'a Due,
     jobs: usize,
     work: f64,
     longest_s: f64,
@@ -124,26 +123,27 @@
     /// interval.
     pub fn look_at_trade(&mut self, now: f64) {
         let at = now + self.floor.day;
-        let mut needs: BTreeMap<Arc<str>, Need> = BTreeMap::new();
+        let mut needs: BTreeMap<&str, Need> = BTreeMap::new();
         for job in self.jobs.values() {
             let Some(due) = &job.due else { continue };
-            let need = needs.entry(due.name.clone()).or_default();
+            let need = needs.entry(&due.name).or_insert_with(|| Need {
+                due,
+                jobs: 0,
+                work: 0.0,
+                longest_s: 0.0,
+                teams: BTreeMap::new(),
+            });
             need.jobs += 1;
             need.work += self.work_left(job);
             need.longest_s = need.longest_s.max(self.remaining(job, 0.0));
             need.teams
                 .insert(job.team, self.cfg.teams[job.team].cpus_max);
-            need.due.get_or_insert_with(|| due.clone());
         }
         let cpus = self.room_for_all(now);
-        let known: Vec<(&Arc<str>, &Due, &Need)> = needs
-            .iter()
-            .filter_map(|(name, need)| Some((name, need.due.as_ref()?, need)))
-            .collect();
-        let loads: Vec<Load> = known
-            .iter()
-            .map(|(_, due, need)| Load {
-                left_s: due.cutoff - at,
+        let loads: Vec<Load> = needs
+            .values()
+            .map(|need| Load {
+                left_s: need.due.cutoff - at,
                 work: need.work,
                 cpus: need.teams.values().sum(),
                 longest_s: need.longest_s,
@@ -152,16 +152,16 @@
         let found = verdicts(&loads, cpus);
         let mut events = Vec::new();
         let mut verdicts = BTreeMap::new();
-        for ((name, due, need), verdict) in known.iter().zip(found) {
+        for ((name, need), verdict) in needs.iter().zip(found) {
             let before = self.trade.verdicts.get(*name);
             if verdict.at_risk && !before.is_some_and(|v| v.at_risk) {
                 let text = format!(
                     "cutoff {name} is at risk: {} jobs, {:.0} CPU-s left, {:.0} s late as it stands, {:.0} CPUs lacking",
                     need.jobs, need.work, -verdict.slack_s, verdict.lacks
                 );
-                events.push((due.declared, text));
+                events.push((need.due.declared, text));
             }
-            verdicts.insert((*name).clone(), verdict);
+            verdicts.insert(need.due.name.clone(), verdict);
         }
         let open = |name: &str| needs.get(name).map_or(0, |n| n.jobs);
         for event in self.trade.book.pass(at, &open) {
--- a/crates/tallygauge-world/src/lib.rs
+++ b/crates/tallygauge-world/src/lib.rs
@@ -418,6 +418,13 @@
         }
     }
 
+    /// A user is told now that a job is cancelled.
+    pub fn told_cancelled(&self, id: &str) {
+        let now = self.now();
+        let mut inner = self.inner.lock().unwrap();
+        inner.cancelled.insert(id.to_string(), now);
+    }
+
     /// Names of machines that are up.
     pub fn up(&self) -> Vec<String> {
         self.inner.lock().unwrap().names()
--- a/crates/tallygauge-world/tests/days.rs
+++ b/crates/tallygauge-world/tests/days.rs
@@ -119,13 +119,7 @@
             (11, _) if n > 3 => {
                 let told = status_of(&users::cancel(&site.nodes[node].0, &id).await);
                 if told == Some(JobStatus::Cancelled) {
-                    let now = site.world.now();
-                    site.world
-                        .inner
-                        .lock()
-                        .unwrap()
-                        .cancelled
-                        .insert(id.clone(), now);
+                    site.world.told_cancelled(&id);
                     cancelled.push(id);
                 }
             }
@@ -150,13 +144,7 @@
             let (id, body) = site.world.job(99, 1, 1.0, 300.0);
             accepted(&site.nodes[0].0, &body).await;
             tokio::time::sleep(Duration::from_secs(30)).await;
-            let now = site.world.now();
-            site.world
-                .inner
-                .lock()
-                .unwrap()
-                .cancelled
-                .insert(id.clone(), now);
+            site.world.told_cancelled(&id);
             jobs.push(id);
         }
         Plant::Lost => jobs.push("req-000777".into()),
--- a/crates/tallygauge-world/tests/freezes.rs
+++ b/crates/tallygauge-world/tests/freezes.rs
@@ -30,8 +30,7 @@
     assert!(done.await, "{id} can't be cancelled");
     let told = told.unwrap();
     if told == JobStatus::Cancelled {
-        let now = world.now();
-        world.inner.lock().unwrap().cancelled.insert(id.into(), now);
+        world.told_cancelled(id);
     }
     told
 }
--- a/crates/tallygauge-world/tests/troubles.rs
+++ b/crates/tallygauge-world/tests/troubles.rs
@@ -45,8 +45,7 @@
         status_of(&users::cancel(&a, &id).await),
         Some(JobStatus::Cancelled)
     );
-    let now = world.now();
-    world.inner.lock().unwrap().cancelled.insert(id, now);
+    world.told_cancelled(&id);
     tokio::time::sleep(Duration::from_secs_f64(CANCEL_S + 5.0)).await;
     world.assert_rules();
 }
--- a/crates/tallygauge/src/control.rs
+++ b/crates/tallygauge/src/control.rs
@@ -142,7 +142,7 @@
             .sum();
         let up = c.workers.values().filter(|w| w.up()).count();
         let [starting, fetching, busy, free] = c.use_of_cpus();
-        let (to_begin, not_begun_s) = c.to_begin(node.now());
+        let (to_begin, not_begun_s) = c.to_begin(now);
         tracing::info!(
             jobs = c.jobs.len(),
             running,
@@ -163,7 +163,7 @@
             sockets_free,
             "summary"
         );
-        let cutoffs = shown_cutoffs(c, node.now());
+        let cutoffs = shown_cutoffs(c, now);
         if !cutoffs.is_empty() {
             tracing::info!(cutoffs, "calendar");
         }
--- a/crates/tallygauge/src/floor.rs
+++ b/crates/tallygauge/src/floor.rs
@@ -3,9 +3,9 @@
 use std::fmt::Write as _;
 use tallygauge_sched::{Cluster, Kind};
 
-/// Classes (`^`: the largest of one) and teams in one field each: jobs accepted, cancelled, started, done,
-/// of these late, of the open ones overdue; `!N` when N jobs come first for it, `?N` when
-/// N of them fit nowhere.
+/// Classes (`^`: the largest of one) and teams in one field each: jobs accepted,
+/// cancelled, started, done, of these late, of the open ones overdue; `!N` when N
+/// jobs come first for it, `?N` when N of them fit nowhere.
 #[must_use]
 pub fn shown(c: &Cluster) -> (String, String) {
     let (mut classes, mut teams) = (String::new(), String::new());
--- a/crates/tallygauge/src/kept.rs
+++ b/crates/tallygauge/src/kept.rs
@@ -4,7 +4,7 @@
 use crate::{control::record_bytes, node::Node, trade::Calendar};
 use serde_json::Value;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
-use tallygauge_kept::{Found, Parcel, Record, Shelf, read};
+use tallygauge_kept::{Found, Parcel, Record, Shelf, name_of, read};
 use tallygauge_sched::{Ledger, LedgerChange};
 use tallygauge_state::{Class, Error, Outcome};
 use tallygauge_wire::state::{Guard, Transaction, Write};
@@ -23,16 +23,15 @@
 #[derive(Debug, Default, Clone)]
 pub struct Kept {
     found: BTreeMap<String, (Value, u64)>,
+    /// The cutoffs in force.
+    pub calendar: Option<Calendar>,
 }
 
 impl Kept {
     /// Takes up one record; what can't be read is said once.
     #[must_use]
     pub fn take<T: Record>(&self, part: Option<usize>) -> Option<T> {
-        let name = match part {
-            None => T::NAME.to_string(),
-            Some(part) => format!("{}/{part}", T::NAME),
-        };
+        let name = name_of::<T>(part);
         let found: Found<T> = read(self.found.get(&name).map(|f| f.0.clone()));
         if let Some(why) = found.complaint() {
             tracing::warn!(
@@ -65,6 +64,7 @@
             }
         }
     }
+    kept.calendar = kept.take(None);
     kept
 }
 
@@ -93,8 +93,7 @@
         node.with_cluster(|c| c.set_ledger(ledger));
     }
     if let Some(calendar) = shelf.wanted::<Calendar>() {
-        let rules = calendar.rules().unwrap_or_default();
-        node.with_cluster(|c| c.set_calendar(rules, calendar.act_on_drawn));
+        node.with_cluster(|c| calendar.put_in_force(c));
     }
     node.wake.notify_one();
     loop {
@@ -124,12 +123,12 @@
 /// they are newer than those in force.
 fn declare(node: &Node, shelf: &mut Shelf, kept: &Kept) {
     let calendar = &node.tuning.calendar;
-    let before = kept.take::<Calendar>(None);
-    let in_force = before.as_ref().map_or(0, |c| c.version);
+    let before = kept.calendar.as_ref();
+    let in_force = before.map_or(0, |c| c.version);
     if calendar.version > in_force {
         let put = shelf.put(None, calendar, Node::time_of_day());
         tracing::info!(version = calendar.version, ?put, "cutoffs are declared");
-    } else if calendar.version == in_force && before.is_some_and(|c| c != *calendar) {
+    } else if calendar.version == in_force && before.is_some_and(|c| c != calendar) {
         let version = in_force;
         tracing::warn!(
             version,
--- a/crates/tallygauge/src/leader.rs
+++ b/crates/tallygauge/src/leader.rs
@@ -4,7 +4,6 @@
     cloud, control, follow, kept,
     node::{LEADER_KEY, Lead, Node, TERM_KEY},
     sweep,
-    trade::Calendar,
     users::{self, OpenRecord},
     workers,
 };
@@ -306,8 +305,8 @@
     for part in kept.parts::<ImagesPart>() {
         cluster.believe(&part);
     }
-    if let Some(calendar) = kept.take::<Calendar>(None) {
-        cluster.set_calendar(calendar.rules().unwrap_or_default(), calendar.act_on_drawn);
+    if let Some(calendar) = &kept.calendar {
+        calendar.put_in_force(&mut cluster);
     }
     if let Some(book) = kept.take(None) {
         cluster.load_calendar(book);
@@ -329,10 +328,13 @@
         let record: OpenRecord = read(&row.key, row.value)?;
         let none = RangeSet::default();
         let finished = done.get(&record.spec.id).unwrap_or(&none);
-        let accepted = now - (time_of_day - record.at).max(0.0);
-        let id = record.spec.id.clone();
-        cluster.add_job(record.spec, row.version, accepted, finished);
-        cluster.accepted(&id, record.at);
+        follow::add(
+            &mut cluster,
+            record,
+            row.version,
+            (now, time_of_day),
+            finished,
+        );
     }
     let jobs = &cluster.jobs;
     cluster.pages.retain(|id| jobs.contains_key(id));
--- a/crates/tallygauge/src/peers.rs
+++ b/crates/tallygauge/src/peers.rs
@@ -189,23 +189,12 @@
         // Old answers do not count when it lags the next time.
         let mut up = 0;
         if mine && node.now() < *node.lock(&node.leaves_users_until) {
-            let asked = clients.iter().map(|(_, client)| {
-                let (mut client, announcement) = (client.clone(), announcement.clone());
-                async move { client.announce(announcement).await.is_ok() }
-            });
-            up = join_all(asked).await.into_iter().filter(|up| *up).count();
+            up = answering(&clients, &announcement).await;
         }
         *node.lock(&node.peers_up) = up;
         // A node that the state service does not serve finds out if it is apart.
-        if node.state.failing_since().is_some() {
-            let asked = clients.iter().map(|(_, client)| {
-                let (mut client, announcement) = (client.clone(), announcement.clone());
-                async move { client.announce(announcement).await.is_ok() }
-            });
-            if join_all(asked).await.into_iter().any(|up| up) {
-                *node.lock(&node.peer_answered) = node.now();
-            }
-        } else {
+        let served = node.state.failing_since().is_none();
+        if served || answering(&clients, &announcement).await > 0 {
             *node.lock(&node.peer_answered) = node.now();
         }
         if !mine {
@@ -217,6 +206,15 @@
     }
 }
 
+/// How many of the other nodes answer.
+async fn answering(clients: &[(String, PeerClient<Channel>)], word: &Announcement) -> usize {
+    let asked = clients.iter().map(|(_, client)| {
+        let (mut client, word) = (client.clone(), word.clone());
+        async move { client.announce(word).await.is_ok() }
+    });
+    join_all(asked).await.into_iter().filter(|up| *up).count()
+}
+
 async fn refresh(node: &Node, mut client: PeerClient<Channel>) {
     let ids: Vec<String> = {
         let mut counts = node.lock(&node.counts);
--- a/crates/tallygauge/src/sweep.rs
+++ b/crates/tallygauge/src/sweep.rs
@@ -2,10 +2,7 @@
 //! the picture against itself. What is found is said and mended.
 
 use crate::{follow, node::Node};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeSet, time::Duration};
 use tallygauge_state::Class;
 use tallygauge_wire::state::{Change, Row};
 
@@ -58,7 +55,6 @@
     let Ok((rows, _)) = node.state.list(Class::Upkeep, "o/").await else {
         return (0, 0);
     };
-    let known: BTreeMap<String, u64> = known.into_iter().collect();
     let (missing, over) = differing(&known, rows, followed);
     let (now, time_of_day) = (node.now(), Node::time_of_day());
     let mut counts = (0, 0);
@@ -98,19 +94,14 @@
 /// Records of jobs that the picture should have, and ids of those that it should
 /// not: the picture as it was before the records were listed, having followed
 /// all changes up to `followed`.
-fn differing(
-    known: &BTreeMap<String, u64>,
-    rows: Vec<Row>,
-    followed: u64,
-) -> (Vec<Row>, Vec<String>) {
+fn differing(known: &BTreeSet<String>, rows: Vec<Row>, followed: u64) -> (Vec<Row>, Vec<String>) {
     let id = |row: &Row| row.key.strip_prefix("o/").map(str::to_string);
     let open: BTreeSet<String> = rows.iter().filter_map(id).collect();
     let lost = |row: &Row| {
-        let known = id(row).is_some_and(|id| known.contains_key(&id));
+        let known = id(row).is_some_and(|id| known.contains(&id));
         row.version <= followed && !known
     };
-    let over = known.keys().filter(|id| !open.contains(*id));
-    let over = over.cloned().collect();
+    let over = known.difference(&open).cloned().collect();
     (rows.into_iter().filter(lost).collect(), over)
 }
 
@@ -130,7 +121,7 @@
     // brings it.
     #[test]
     fn only_what_the_picture_must_know_is_taken_for_lost() {
-        let known = BTreeMap::from([("req-1".to_string(), 5), ("req-4".to_string(), 8)]);
+        let known = BTreeSet::from(["req-1".to_string(), "req-4".to_string()]);
         let rows = vec![row(1, 5), row(2, 7), row(3, 11)];
         let (missing, over) = differing(&known, rows, 10);
         let missing: Vec<&str> = missing.iter().map(|r| r.key.as_str()).collect();
--- a/crates/tallygauge/src/trade.rs
+++ b/crates/tallygauge/src/trade.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use tallygauge_kept::{Record, Timing};
-use tallygauge_sched::{CutoffRule, Days, Declared, HIGHEST, RankRule};
+use tallygauge_sched::{Cluster, CutoffRule, Days, Declared, HIGHEST, RankRule};
 
 /// The calendar, as operators write it, and as it is on record: while controllers
 /// have different settings files, the later version is in force under each.
@@ -95,6 +95,11 @@
 }
 
 impl Calendar {
+    /// Puts the cutoffs in force in a picture. They must be on record.
+    pub fn put_in_force(&self, cluster: &mut Cluster) {
+        cluster.set_calendar(self.rules().unwrap_or_default(), self.act_on_drawn);
+    }
+
     /// The cutoffs, checked.
     ///
     /// # Errors
