--- a/crates/tallygauge-floor/src/elect.rs
+++ b/crates/tallygauge-floor/src/elect.rs
@@ -1,12 +1,12 @@
 //! Who has fallen behind, and whose jobs come first for it.
 
-use crate::book::Book;
+use crate::book::{Book, Places};
 
 /// An open job, as far as the floor looks at it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Candidate {
-    /// Places of its class and its team.
-    pub places: [usize; 2],
+    /// Places of its class and its team, and of its class's largest jobs.
+    pub places: Places,
     /// CPU-seconds until its last task is done.
     pub work: f64,
     /// Seconds since it should have been served; `None`: it need not be yet.
@@ -67,7 +67,8 @@
 
 /// Elects, for each class and each team that is behind, those of its open jobs
 /// that are nearest to their end, as many as it is short of. Beyond the least
-/// part, those come first that can still be done in time.
+/// part, the largest of a class that has that come next, as many as those are
+/// short of, and then those that can still be done in time.
 ///
 /// Behind is who has served less than the level's share of those jobs that are
 /// done or overdue, within the day or within the shorter window; a few overdue
@@ -91,7 +92,7 @@
     let mut rest = Vec::new();
     for candidate in order {
         let places = jobs[candidate].places;
-        if places.iter().all(|p| least[*p] == 0) {
+        if least[places.class] == 0 && least[places.team] == 0 {
             rest.push(candidate);
             continue;
         }
@@ -99,22 +100,39 @@
             candidate,
             least: true,
         });
-        for place in places {
+        for place in places.iter() {
             need[place] = need[place].saturating_sub(1);
             least[place] = least[place].saturating_sub(1);
         }
     }
+    // Then what the largest are short of.
+    rest.retain(|candidate| {
+        let places = jobs[*candidate].places;
+        // They cost most: the class itself must have its least part.
+        if places.largest.is_none_or(|p| least[p] == 0) || demands[places.class].least > 0 {
+            return true;
+        }
+        seats.push(Seat {
+            candidate: *candidate,
+            least: false,
+        });
+        for place in places.iter() {
+            need[place] = need[place].saturating_sub(1);
+            least[place] = least[place].saturating_sub(1);
+        }
+        false
+    });
     rest.sort_by(|a, b| jobs[*a].late.cmp(&jobs[*b].late).then(work(a, b)));
     for candidate in rest {
         let places = jobs[candidate].places;
-        if places.iter().all(|p| need[*p] == 0) {
+        if need[places.class] == 0 && need[places.team] == 0 {
             continue;
         }
         seats.push(Seat {
             candidate,
             least: false,
         });
-        for place in places {
+        for place in places.iter() {
             need[place] = need[place].saturating_sub(1);
         }
     }
@@ -132,7 +150,7 @@
     let mut serving = vec![0u32; count];
     let mut long = vec![false; count];
     for job in jobs {
-        for place in job.places {
+        for place in job.places.iter() {
             let demand = &mut demands[place];
             demand.open += 1;
             if job.served {
@@ -190,7 +208,7 @@
     fn plain(book: &Book, jobs: &[Candidate], at: f64) -> (Vec<[u32; 2]>, Vec<Seat>) {
         let mut needs = Vec::new();
         for place in 0..book.keys().len() {
-            let here = |j: &&Candidate| j.places.contains(&place);
+            let here = |j: &&Candidate| j.places.iter().any(|p| p == place);
             let late = |j: &&Candidate| here(j) && !j.served && j.overdue_s.is_some();
             let tells =
                 jobs.iter().filter(late).count() >= 4 || jobs.iter().filter(late).any(|j| j.long);
@@ -210,39 +228,49 @@
         loop {
             let taken = |n: usize| seats.iter().any(|s| s.candidate == n);
             let able = |n: &usize| !taken(*n) && jobs[*n].fits && !jobs[*n].served;
-            let wanted =
-                |n: usize, level: usize| jobs[n].places.iter().any(|p| left[*p][level] > 0);
+            let short = |n: usize, level: usize| {
+                let places = jobs[n].places;
+                left[places.class][level] > 0 || left[places.team][level] > 0
+            };
+            let large = |n: &usize| {
+                let places = jobs[*n].places;
+                needs[places.class][0] == 0 && places.largest.is_some_and(|p| left[p][0] > 0)
+            };
             let all = || (0..jobs.len()).filter(able);
-            let best = |least: bool| {
-                all()
-                    .filter(|n| wanted(*n, usize::from(!least)))
-                    .min_by(|a, b| {
-                        let key = |n: usize| (jobs[n].late && !least, jobs[n].work);
-                        key(*a).partial_cmp(&key(*b)).unwrap()
-                    })
+            let best = |late: bool, which: &dyn Fn(&usize) -> bool| {
+                all().filter(which).min_by(|a, b| {
+                    let key = |n: usize| (late && jobs[n].late, jobs[n].work);
+                    key(*a).partial_cmp(&key(*b)).unwrap()
+                })
             };
-            let first = best(true);
-            let Some(candidate) = first.or(best(false)) else {
+            let first = best(false, &|n| short(*n, 0));
+            let next = first.or(best(false, &large));
+            let Some(candidate) = next.or(best(true, &|n| short(*n, 1))) else {
                 return (needs, seats);
             };
-            for place in jobs[candidate].places {
+            let least = first.is_some();
+            let places = jobs[candidate].places;
+            for place in places.iter() {
                 left[place] = left[place].map(|n| n.saturating_sub(1));
             }
-            let least = first.is_some();
             seats.push(Seat { candidate, least });
         }
     }
 
     fn any_candidate() -> impl Strategy<Value = Candidate> {
         (
-            (0usize..3, 3usize..5),
+            (0usize..3, 3usize..5, prop::bool::weighted(0.2)),
             1u32..50,
             prop::option::of(1.0f64..400.0),
             (any::<bool>(), 0u8..20, 0u8..8, 0u8..12),
         )
             .prop_map(
                 |(places, work, overdue_s, (late, long, fits, served))| Candidate {
-                    places: places.into(),
+                    places: Places {
+                        class: places.0,
+                        team: places.1,
+                        largest: places.2.then_some(5 + places.0),
+                    },
                     work: f64::from(work),
                     overdue_s,
                     late,
@@ -261,12 +289,13 @@
             over in prop::collection::vec((0usize..3, 3usize..5, 0.0f64..500.0), 0..30),
         ) {
             let mut book = Book::new(200.0);
-            for (kind, name) in [(Kind::Class, "a"), (Kind::Class, "b"), (Kind::Class, "c"), (Kind::Team, "x"), (Kind::Team, "y")] {
+            for (kind, name) in [(Kind::Class, "a"), (Kind::Class, "b"), (Kind::Class, "c"), (Kind::Team, "x"), (Kind::Team, "y"), (Kind::Largest, "a"), (Kind::Largest, "b"), (Kind::Largest, "c")] {
                 book.place(kind, name);
             }
             let now = 1e9;
             for (class, team, ago) in over {
-                book.over([class, team], End::Done { late: false }, now - ago);
+                let places = Places { class, team, largest: (ago > 400.0).then_some(5 + class) };
+                book.over(places, End::Done { late: false }, now - ago);
             }
             let election = elect(&book, &jobs, LEVEL, now);
             let (needs, seats) = plain(&book, &jobs, now);
@@ -281,10 +310,11 @@
     #[test]
     fn what_fits_nowhere_is_said_and_has_no_seat() {
         let mut book = Book::new(200.0);
-        let places = [
-            book.place(Kind::Class, "giant"),
-            book.place(Kind::Team, "t"),
-        ];
+        let places = Places {
+            class: book.place(Kind::Class, "giant"),
+            team: book.place(Kind::Team, "t"),
+            largest: None,
+        };
         let job = Candidate {
             places,
             work: 5.0,
--- /dev/null
+++ b/crates/tallygauge-floor/src/sizes.rs
@@ -0,0 +1,122 @@
+//! Which jobs of a class are its largest.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Steps of a size that are told apart, for each doubling.
+const STEPS: f64 = 4.0;
+
+/// Sizes beyond this many steps from 1 are taken as equal.
+const FURTHEST: f64 = 100.0;
+
+/// Part of a class's jobs that are its largest, by one reading. It is to cover
+/// the top tenth of what jobs turn out to be, and estimates are wrong by half.
+const LARGEST: f64 = 0.2;
+
+/// How large a job is, by each reading: tasks, CPU-seconds, CPUs of a task.
+pub type Size = [f64; 3];
+
+/// Sizes of a class's jobs: by reading, how many jobs by step. Bounded, as steps
+/// are.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Sizes([BTreeMap<i8, u32>; 3]);
+
+fn step(size: f64) -> i8 {
+    let steps = size.max(f64::MIN_POSITIVE).log2() * STEPS;
+    steps.clamp(-FURTHEST, FURTHEST) as i8
+}
+
+impl Sizes {
+    /// Counts a job.
+    pub fn add(&mut self, size: Size) {
+        for (counts, size) in self.0.iter_mut().zip(size) {
+            let count = counts.entry(step(size)).or_default();
+            *count = count.saturating_add(1);
+        }
+    }
+
+    /// Counts a job no more.
+    pub fn remove(&mut self, size: Size) {
+        for (counts, size) in self.0.iter_mut().zip(size) {
+            if let Some(count) = counts.get_mut(&step(size)) {
+                *count -= 1;
+                if *count == 0 {
+                    counts.remove(&step(size));
+                }
+            }
+        }
+    }
+
+    /// Jobs that are counted.
+    #[must_use]
+    pub fn total(&self) -> u32 {
+        self.0[0].values().fold(0, |a, b| a.saturating_add(*b))
+    }
+
+    /// Steps that are told apart now, of all readings.
+    #[must_use]
+    pub fn steps(&self) -> usize {
+        self.0.iter().map(BTreeMap::len).sum()
+    }
+
+    /// Whether a job that is counted here or in `more` is among the largest by
+    /// any reading: with those at least as large it is a fifth at most, or the
+    /// only one.
+    #[must_use]
+    pub fn is_largest(&self, more: &Self, size: Size) -> bool {
+        let total = f64::from(self.total()) + f64::from(more.total());
+        let most = (total * LARGEST).ceil().max(1.0);
+        let readings = self.0.iter().zip(&more.0).zip(size);
+        readings.into_iter().any(|((own, more), size)| {
+            let from = step(size);
+            let above = |counts: &BTreeMap<i8, u32>| {
+                let above = counts.range(from..).map(|c| f64::from(*c.1));
+                above.sum::<f64>()
+            };
+            above(own) + above(more) <= most
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_fifth_is_largest_by_each_reading() {
+        let (mut over, mut open) = (Sizes::default(), Sizes::default());
+        let size = |n: u32| [f64::from(n), f64::from(101 - n), 16.0];
+        for n in 1..=100 {
+            let sizes = if n % 2 == 0 { &mut over } else { &mut open };
+            sizes.add(size(n));
+        }
+        let largest: Vec<u32> = (1..=100)
+            .filter(|n| over.is_largest(&open, size(*n)))
+            .collect();
+        // By tasks those with the most, by work those with the fewest here; all
+        // have tasks of one size, which makes none of them large.
+        assert!(largest.contains(&100) && largest.contains(&1));
+        assert!(!largest.contains(&50));
+        assert!((10..=40).contains(&largest.len()), "{largest:?}");
+        for n in (1..=100).filter(|n| n % 2 == 1) {
+            open.remove(size(n));
+        }
+        assert_eq!(open, Sizes::default());
+    }
+
+    #[test]
+    fn at_least_one_is_largest_and_it_stays_small() {
+        let mut sizes = Sizes::default();
+        sizes.add([1.0, 5.0, 2.0]);
+        assert!(sizes.is_largest(&Sizes::default(), [1.0, 5.0, 2.0]));
+        sizes.add([4.0, 5.0, 2.0]);
+        assert!(sizes.is_largest(&Sizes::default(), [4.0, 5.0, 2.0]));
+        assert!(!sizes.is_largest(&Sizes::default(), [1.0, 5.0, 2.0]));
+        for n in 0..100_000u32 {
+            let size = 10f64.powi(n as i32 % 600 - 300);
+            sizes.add([size, size * 3.0, 0.0]);
+        }
+        assert!(sizes.steps() <= 3 * 201);
+    }
+}
--- a/crates/tallygauge-sched/examples/overload/day.rs
+++ b/crates/tallygauge-sched/examples/overload/day.rs
@@ -210,7 +210,10 @@
         horizon_boots: 1.0,
         class_due_s: setup.classes.iter().map(due).collect(),
         aims: setup.classes.iter().map(aim).collect(),
-        floor: FloorConfig { share: setup.share },
+        floor: FloorConfig {
+            share: setup.share,
+            begin_within_s: if setup.share > 0.0 { 240.0 } else { 0.0 },
+        },
         tasks_per_worker: 400,
         most_direct: 150,
         term: 1,
@@ -469,6 +472,7 @@
             self.c.tick(now);
             let began = Instant::now();
             self.c.elect(now);
+            self.c.call_to_begin(now);
             self.elections.push(began.elapsed().as_secs_f64());
         }
         let began = Instant::now();
--- a/crates/tallygauge-sched/src/cluster.rs
+++ b/crates/tallygauge-sched/src/cluster.rs
@@ -1,8 +1,8 @@
 //! The leader's picture of jobs, workers and teams.
 
 use crate::{
-    drains::Drain, floor::Floor, model::*, pages::Pages, placements::before_first,
-    ranges::RangeSet, surplus::Rises,
+    begins::Begins, drains::Drain, floor::Floor, model::*, pages::Pages, placements::before_first,
+    ranges::RangeSet, surplus::Rises, sweep::Sweep,
 };
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -86,6 +86,8 @@
     pub(crate) departed: Departed,
     pub(crate) drains: Vec<Drain>,
     pub(crate) floor: Floor,
+    pub(crate) begins: Begins,
+    pub(crate) sweep: Sweep,
 }
 
 impl Cluster {
@@ -124,6 +126,8 @@
             departed,
             drains: Vec::new(),
             floor,
+            begins: Begins::default(),
+            sweep: Sweep::default(),
         }
     }
 
@@ -161,6 +165,7 @@
         for n in finished.iter() {
             waiting.remove(n);
         }
+        let fresh = waiting.clone();
         let job = Job {
             version,
             accepted_at,
@@ -177,8 +182,10 @@
             on: BTreeMap::new(),
             errors: 0,
             measured: BTreeMap::new(),
+            fresh,
             spec: Arc::new(spec),
         };
+        self.floor.book.open(job.places[0], job.size());
         if job.complete() {
             self.dirty_jobs.insert(job.spec.id.clone());
         }
--- a/crates/tallygauge-sched/src/floor.rs
+++ b/crates/tallygauge-sched/src/floor.rs
@@ -4,7 +4,9 @@
 
 use crate::{cluster::Cluster, model::*};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use tallygauge_floor::{Book, Candidate, Demand, End, Key, Kind, Level, Record, Tally, elect};
+use tallygauge_floor::{
+    Book, Candidate, Demand, End, Key, Kind, Level, Places, Record, Size, Tally, elect,
+};
 use tallygauge_wire::users::Shape;
 
 /// Patience, in boot and run times, with a job whose class has no aim and that
@@ -40,6 +42,25 @@
     pub(crate) least: f64,
 }
 
+impl Job {
+    /// How large it is, by each reading.
+    pub(crate) fn size(&self) -> Size {
+        let tasks = f64::from(self.spec.tasks);
+        let each = self.spec.cpus * self.spec.expected_s;
+        [tasks, tasks * each, self.spec.cpus]
+    }
+
+    /// Where it counts whatever its size.
+    pub(crate) fn all_places(&self) -> Places {
+        let [class, team] = self.places;
+        Places {
+            class,
+            team,
+            largest: None,
+        }
+    }
+}
+
 /// The floor's part of the picture.
 pub(crate) struct Floor {
     pub(crate) book: Book,
@@ -47,6 +68,8 @@
     pub(crate) day: f64,
     /// Jobs that come first, by id.
     pub(crate) seats: HashMap<String, Seat>,
+    /// Jobs that are among their class's largest, and where those count.
+    pub(crate) largest: HashMap<String, usize>,
     /// Machines set aside.
     pub(crate) aside: BTreeMap<String, Aside>,
     /// Part of the machines that jobs which come first may use.
@@ -62,6 +85,7 @@
             book: Book::new(longest * RECENT_PATIENCES),
             day: 0.0,
             seats: HashMap::new(),
+            largest: HashMap::new(),
             aside: BTreeMap::new(),
             part: 0.0,
             demands: Vec::new(),
@@ -144,8 +168,15 @@
             }
         };
         let at = now + self.floor.day;
-        self.floor.book.over(job.places, end, at);
+        let size = job.size();
+        let places = Places {
+            largest: self.floor.book.largest(job.places[0], size),
+            ..job.all_places()
+        };
+        self.floor.book.close(job.places[0], size);
+        self.floor.book.over(places, end, at);
         self.floor.seats.remove(&job.spec.id);
+        self.begins.jobs.remove(&job.spec.id);
     }
 
     /// How long after its submission a job is still served in time: its loosest
@@ -178,7 +209,7 @@
     /// for as long as its patience, or (`turns`) as all work ahead takes.
     fn candidate(
         &self,
-        (job, work): (&Job, f64),
+        (job, work, largest): (&Job, f64, Option<usize>),
         pressure: &Pressure,
         turns: bool,
         now: f64,
@@ -209,7 +240,10 @@
                     .is_some_and(|t| Room::of_type(t).holds(&job.spec))
         });
         Candidate {
-            places: job.places,
+            places: Places {
+                largest,
+                ..job.all_places()
+            },
             work,
             overdue_s: (over > 0.0).then_some(over),
             late: age + if waits { run } else { 0.0 } > due,
@@ -221,7 +255,7 @@
 
     /// How much work there is against the machines, with the work that each
     /// open job has left.
-    fn pressure(&self, works: &[(&Job, f64)], now: f64) -> Pressure<'_> {
+    fn pressure(&self, works: &[(&Job, f64, Option<usize>)], now: f64) -> Pressure<'_> {
         let mut kinds: BTreeSet<(&str, &str, bool)> = BTreeSet::new();
         let mut sizes: Vec<f64> = self.types.values().map(|t| t.cpus).collect();
         sizes.sort_by(f64::total_cmp);
@@ -261,7 +295,7 @@
         let mut by_team = vec![0.0; self.cfg.teams.len()];
         let mut by_size = vec![0.0; sizes.len()];
         let mut by_zone: BTreeMap<String, f64> = BTreeMap::new();
-        for (job, work) in works {
+        for (job, work, _) in works {
             by_team[job.team] += work;
             let least = self.least_type(job);
             for (size, sum) in sizes.iter().zip(&mut by_size) {
@@ -306,7 +340,18 @@
         if self.cfg.floor.share <= 0.0 {
             return;
         }
-        let works: Vec<(&Job, f64)> = self.jobs.values().map(|j| (j, self.work_left(j))).collect();
+        let book = &mut self.floor.book;
+        let largest = self
+            .jobs
+            .values()
+            .map(|j| book.largest(j.places[0], j.size()));
+        let largest: Vec<Option<usize>> = largest.collect();
+        let named = self.jobs.keys().zip(&largest);
+        let named = named.filter_map(|(id, l)| Some((id.clone(), (*l)?)));
+        self.floor.largest = named.collect();
+        let jobs = self.jobs.values().zip(largest);
+        let works: Vec<(&Job, f64, Option<usize>)> =
+            jobs.map(|(j, l)| (j, self.work_left(j), l)).collect();
         let pressure = self.pressure(&works, now);
         let candidates = |turns: bool| -> Vec<Candidate> {
             let each = works.iter();
@@ -342,7 +387,7 @@
         // Each class that is behind has an equal part, and so has all work of
         // the others together.
         let behind: BTreeSet<usize> = seats.values().map(|s: &Seat| s.place).collect();
-        let others = works.iter().any(|(j, _)| {
+        let others = works.iter().any(|(j, _, _)| {
             !behind.contains(&j.places[0]) && (!j.waiting.is_empty() || !j.resumes.is_empty())
         });
         let parties = behind.len() + usize::from(others);
@@ -473,7 +518,8 @@
         let book = &self.floor.book;
         let mut open = vec![(0u32, 0u32); book.keys().len()];
         for job in self.jobs.values() {
-            for place in job.places {
+            let largest = self.floor.largest.get(&job.spec.id);
+            for place in job.places.iter().chain(largest).copied() {
                 open[place].0 += 1;
                 open[place].1 += u32::from(job.started);
             }
--- a/crates/tallygauge-sched/src/ledgers.rs
+++ b/crates/tallygauge-sched/src/ledgers.rs
@@ -3,6 +3,7 @@
 
 use crate::{cluster::Cluster, model::*};
 use std::collections::BTreeMap;
+use tallygauge_wire::users::START_COUNTS_S;
 
 fn decrement<K: Ord + ?Sized, Q: Ord + std::borrow::Borrow<K>>(
     counts: &mut BTreeMap<Q, u32>,
@@ -102,6 +103,9 @@
             self.ledgers[team].add(&held.spec, -1.0);
         }
         if let Some(job) = self.jobs.get_mut(&held.spec.id) {
+            if held.ran_s(now) >= START_COUNTS_S {
+                job.fresh.remove(held.index);
+            }
             decrement(&mut job.holds, &held.index);
             decrement(&mut job.zones, worker.zone.as_str());
         }
--- a/crates/tallygauge-sched/src/lib.rs
+++ b/crates/tallygauge-sched/src/lib.rs
@@ -4,6 +4,7 @@
 //! time is an argument, and what should happen comes out as values: placements
 //! to make durable, commands, machines to rent or return.
 
+mod begins;
 mod cluster;
 mod commands;
 mod demand;
@@ -19,6 +20,7 @@
 mod ranges;
 mod reports;
 mod surplus;
+mod sweep;
 #[cfg(test)]
 mod tests;
 mod why;
--- a/crates/tallygauge-sched/src/mapping/mod.rs
+++ b/crates/tallygauge-sched/src/mapping/mod.rs
@@ -223,6 +223,21 @@
         let mut held = Held::new(spec, index, attempt, w.session, now);
         held.saved_s = saved_s;
         self.occupy(worker, held);
+        if let Some(job) = self.jobs.get(id)
+            && job.waiting.is_empty()
+            && job.resumes.is_empty()
+        {
+            let after = now - job.accepted_at;
+            let (class, tasks) = (&job.spec.class, job.spec.tasks);
+            let large = if self.floor.largest.contains_key(id) {
+                ", a large one"
+            } else {
+                ""
+            };
+            let text =
+                format!("{id} waits no more after {after:.1} s: {class}, {tasks} tasks{large}");
+            self.events.push((false, text));
+        }
         self.planned.push((worker.to_string(), attempt));
     }
 }
--- a/crates/tallygauge-sched/src/mapping/rooms.rs
+++ b/crates/tallygauge-sched/src/mapping/rooms.rs
@@ -64,8 +64,11 @@
         let s = &self.slots[slot];
         let entrant = &self.entrants[at];
         let job = entrant.job;
-        let kept = |a: Aside| job.spec.cpus < a.least || entrant.seat.is_none();
-        if s.aside.is_some_and(kept) {
+        let begins = entrant.begin.is_some();
+        let first = entrant.seat.is_some() || begins;
+        let kept = |a: Aside| job.spec.cpus < a.least || !first;
+        let kept_to_begin = |least: f64| job.spec.cpus < least || !begins;
+        if s.aside.is_some_and(kept) || s.to_begin.is_some_and(kept_to_begin) {
             return false;
         }
         let zones = entrant.zones.as_ref().unwrap_or(&job.zones);
@@ -118,7 +121,9 @@
     /// job: rooms only shrink within a round.
     fn known_full(&self, at: usize) -> bool {
         let entrant = &self.entrants[at];
-        entrant.seat.is_none() && self.full.iter().any(|f| f.covers(&entrant.job.spec))
+        entrant.seat.is_none()
+            && entrant.begin.is_none()
+            && self.full.iter().any(|f| f.covers(&entrant.job.spec))
     }
 
     fn note_full(&mut self, at: usize) {
@@ -130,7 +135,7 @@
             && !spec.one_zone
             && !spec.spread
             && spec.spot;
-        if !anywhere || entrant.seat.is_some() {
+        if !anywhere || entrant.seat.is_some() || entrant.begin.is_some() {
             return;
         }
         let need = Full(Room {
--- a/crates/tallygauge-sched/src/mapping/round.rs
+++ b/crates/tallygauge-sched/src/mapping/round.rs
@@ -67,6 +67,8 @@
     pub(super) within: bool,
     /// On whose behalf it comes first, if it does.
     pub(super) seat: Option<Seat>,
+    /// It is to begin with one task, in which order.
+    pub(super) begin: Option<u32>,
     /// Run time of a whole task, as far as known.
     whole_s: f64,
     pub(super) finder: Option<Finder>,
@@ -92,6 +94,8 @@
     pub(super) version: u32,
     /// Set aside for jobs that come first.
     pub(super) aside: Option<Aside>,
+    /// Set aside for tasks of so many CPUs at least of jobs that are to begin.
+    pub(super) to_begin: Option<f64>,
     /// What may be stopped, least UPT first.
     pub(super) victims: Vec<Victim<'a>>,
 }
@@ -182,6 +186,7 @@
                 images: Cow::Borrowed(&worker.images),
                 version: 0,
                 aside: c.floor.aside.get(&worker.name).copied(),
+                to_begin: c.begins.aside.get(&worker.name).copied(),
                 victims: Vec::new(),
             });
         }
@@ -208,6 +213,7 @@
                     job,
                     within: within.contains(job.spec.id.as_str()),
                     seat: c.floor.seats.get(&job.spec.id).copied(),
+                    begin: c.turn_to_begin(&job.spec.id),
                     whole_s: c.whole(&job.spec),
                     finder: None,
                     zones: None,
@@ -277,10 +283,80 @@
         let outlook = self.outlook();
         let hopeful = waiting.into_iter().filter(|w| outlook.any(self, w));
         let waiting: Vec<Waiting> = hopeful.collect();
+        let waiting = self.run_begins(waiting, preempt);
         let rest = self.run_first(waiting, preempt);
         self.run_by_upt(rest, preempt);
     }
 
+    /// Places one task of each job that is to begin, in the order of their
+    /// acceptance, and then more of them. Where the team's limit leaves no room
+    /// for the first, what there is of it is kept. Returns what is left.
+    fn run_begins(&mut self, mut waiting: Vec<Waiting<'a>>, preempt: bool) -> Vec<Waiting<'a>> {
+        let mut turns: BTreeMap<u32, usize> = BTreeMap::new();
+        for (n, w) in waiting.iter().enumerate() {
+            let Some(order) = self.entrants[w.at].begin else {
+                continue;
+            };
+            let at = turns.entry(order).or_insert(n);
+            // Of one job, what has least left to run goes first.
+            if self.best_upt(w) > self.best_upt(&waiting[*at]) {
+                *at = n;
+            }
+        }
+        let mut placed = BTreeSet::new();
+        for n in turns.values().copied() {
+            let one = waiting[n];
+            let job = one.group.job;
+            if self.headroom(job) == 0 {
+                self.ledgers[job.team].add(&job.spec, 1.0);
+                continue;
+            }
+            let Some((slot, _)) = self.best_spot(&one) else {
+                if preempt {
+                    self.make_room(&one, 1);
+                    self.entrants[one.at].asked = false;
+                }
+                continue;
+            };
+            self.start(&one, slot);
+            self.entrants[one.at].begin = None;
+            if one.group.resume.is_some() || self.unplaced(one.at) == 0 {
+                placed.insert(n);
+            }
+        }
+        // Then their other tasks that never ran, on a part of the machines.
+        if !self.c.begins.jobs.is_empty() {
+            let cpus: f64 = self.slots.iter().map(|s| self.types[s.of_type].cpus).sum();
+            let mut left = self.c.left_to_begin(cpus);
+            let near = |w: &Waiting| self.c.begins.jobs.get(&w.group.job.spec.id);
+            let mut others: Vec<(u32, usize)> = (0..waiting.len())
+                .filter(|n| !placed.contains(n) && waiting[*n].group.resume.is_none())
+                .filter_map(|n| Some((near(&waiting[n]).filter(|t| t.late)?.order, n)))
+                .collect();
+            others.sort_unstable();
+            for (_, n) in others {
+                let one = waiting[n];
+                let job = one.group.job;
+                while left > 0.0 && self.unplaced(one.at) > 0 && self.headroom(job) > 0 {
+                    let Some((slot, _)) = self.best_spot(&one) else {
+                        break;
+                    };
+                    self.start(&one, slot);
+                    left -= job.spec.cpus;
+                }
+                if self.unplaced(one.at) == 0 {
+                    placed.insert(n);
+                }
+            }
+        }
+        let mut n = 0;
+        waiting.retain(|_| {
+            n += 1;
+            !placed.contains(&(n - 1))
+        });
+        waiting
+    }
+
     /// Places tasks of jobs that come first, those before all that the least part
     /// needs: of the class with the fewest CPUs used for such jobs the next, in
     /// the order of its jobs, as long as there is room that they may use. Returns
--- a/crates/tallygauge-sched/src/mapping/victims.rs
+++ b/crates/tallygauge-sched/src/mapping/victims.rs
@@ -30,6 +30,7 @@
                 .filter(|h| h.stop.is_none() && h.phase == Phase::On(TaskState::Running))
                 .filter(|h| h.spec.checkpoint_every_s > 0.0 && h.spec.shape == Shape::Array)
                 .filter(|h| !self.c.floor.seats.contains_key(&h.spec.id))
+                .filter(|h| !self.c.is_to_begin(h))
                 .filter_map(|held| {
                     Some(Victim {
                         upt: self.c.upt_running(held, self.now),
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -83,6 +83,8 @@
 pub struct FloorConfig {
     /// Part of the jobs that are done or overdue which is to be done; 0: none.
     pub share: f64,
+    /// Seconds after its acceptance by which every job has begun; 0: no bound.
+    pub begin_within_s: f64,
 }
 
 impl Config {
@@ -404,6 +406,9 @@
     pub errors: u32,
     /// Run times of its tasks by machine: sum and number.
     pub measured: BTreeMap<String, (f64, u32)>,
+    /// Tasks of which no attempt has run for long enough to count, as far as
+    /// this leader knows.
+    pub fresh: RangeSet,
 }
 
 impl Job {
--- a/crates/tallygauge-sched/src/reports.rs
+++ b/crates/tallygauge-sched/src/reports.rs
@@ -372,8 +372,13 @@
                 // After a take-over the start is known from the placement.
                 held.running_since = Some(if held.inherited { held.placed_at } else { now });
                 let spec = held.spec.clone();
-                if let Some(job) = self.jobs.get_mut(id) {
-                    job.started = true;
+                if let Some(job) = self.jobs.get_mut(id)
+                    && !std::mem::replace(&mut job.started, true)
+                {
+                    let after = now - job.accepted_at;
+                    let (class, tasks) = (&job.spec.class, job.spec.tasks);
+                    let text = format!("{id} begins after {after:.1} s: {class}, {tasks} tasks");
+                    self.events.push((false, text));
                 }
                 worker.images.fetching.remove(&spec.image);
                 worker.images.touch(&spec.image, spec.image_gb, cache);
@@ -426,6 +431,7 @@
             if let Some(job) = self.jobs.get_mut(&held.spec.id) {
                 job.errors = 0;
                 job.waiting.remove(held.index);
+                job.fresh.remove(held.index);
                 job.resumes.remove(&held.index);
                 if job.finished.insert(held.index) {
                     job.dirty.insert(chunk);
--- /dev/null
+++ b/crates/tallygauge-sched/src/tests/begins.rs
@@ -0,0 +1,216 @@
+//! Every job begins within a bound.
+
+use super::*;
+
+const BOUND: f64 = 240.0;
+
+/// Jobs that are to begin, as plainly as it can be said: one after the other in
+/// the order of their acceptance, each with one task on the best spot that it
+/// may use; then all others by UPT, without what is kept for those.
+fn plain_with_begins(c: &Cluster, now: f64) -> Vec<(String, u32, String)> {
+    let mut model = Plain::new(c, now);
+    let mut turns: Vec<(&String, &crate::begins::Turn)> = c.begins.jobs.iter().collect();
+    turns.retain(|t| t.1.wants && c.jobs[t.0].holds.len() <= t.1.held);
+    turns.sort_by_key(|t| t.1.order);
+    for (id, _) in turns {
+        let job = &c.jobs[id];
+        let Some(at) = model.waiting.iter().position(|w| w.0 == *id) else {
+            continue;
+        };
+        let most = c.cfg.teams[job.team].cpus_max;
+        if model.used[job.team] + job.spec.cpus > most + 1e-9 {
+            model.used[job.team] += job.spec.cpus;
+            continue;
+        }
+        model.begins = true;
+        let spot = model.spot(id);
+        model.begins = false;
+        if let Some((_, name)) = spot {
+            model.start(at, name);
+        }
+    }
+    // Then their other tasks, on a quarter of the machines.
+    let usable = c.workers.values().filter(|w| w.usable(now, &c.cfg));
+    let mut left = usable.map(|w| c.types[&w.machine_type].cpus).sum::<f64>() * 0.25;
+    let mut near: Vec<(&String, &crate::begins::Turn)> = c.begins.jobs.iter().collect();
+    for (id, _) in &near {
+        left -= c.jobs[*id].holds.len() as f64 * c.jobs[*id].spec.cpus;
+    }
+    near.sort_by_key(|t| t.1.order);
+    for (id, _) in near.into_iter().filter(|t| t.1.late) {
+        while left > 0.0
+            && let Some(at) = model.waiting.iter().position(|w| w.0 == *id)
+            && let Some((_, name)) = model.spot(id)
+        {
+            model.start(at, name);
+            left -= c.jobs[id].spec.cpus;
+        }
+    }
+    model.by_upt();
+    model.out
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 96, rng_seed: proptest::test_runner::RngSeed::Fixed(53), failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn with_jobs_that_are_to_begin_the_mapping_is_that_of_the_plain_model(
+        jobs in prop::collection::vec((any_job(), 0.0f64..200.0), 2..14),
+    ) {
+        let names = fleet(6);
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut c = cluster(&names, 200.0);
+        for team in &mut c.cfg.teams { team.cpus_max = 24.0; }
+        let (first, later) = jobs.split_at(jobs.len() / 2);
+        for (n, (job, at)) in first.iter().enumerate() {
+            c.add_job(spec_of(n, *job, 2), 1, *at, &RangeSet::default());
+        }
+        round(&mut c, 200.0);
+        for (n, (job, at)) in later.iter().enumerate() {
+            c.add_job(spec_of(20 + n, *job, 2), 1, *at, &RangeSet::default());
+        }
+        c.elect(201.0);
+        c.floor.seats.clear();
+        c.floor.aside.clear();
+        c.call_to_begin(201.0);
+        let expected = plain_with_begins(&c, 201.0);
+        c.plan(201.0, false);
+        let mut real: Vec<(u64, (String, u32, String))> = c.workers.values().flat_map(|w| w.held.iter().filter(|h| h.phase == Phase::Planned).map(|h| (h.attempt, (h.spec.id.clone(), h.index, w.name.clone())))).collect();
+        real.sort();
+        prop_assert_eq!(real.into_iter().map(|r| r.1).collect::<Vec<_>>(), expected);
+    }
+}
+
+/// A flood of small urgent jobs on a few machines, and one large job that is no
+/// better than they are. When its first task runs, `None`: never.
+fn begun_at(bound: f64, team_cpus: f64) -> Option<f64> {
+    let names = ["l1a", "l2b", "l3a"];
+    let mut c = cluster(&names, 0.0);
+    c.cfg.floor.begin_within_s = bound;
+    for team in &mut c.cfg.teams {
+        (team.cpus, team.cpus_max) = (1.0, team_cpus);
+    }
+    let mut large = spec(1, 4, 12.0);
+    (large.priority, large.expected_s) = (Priority::Low, 60.0);
+    c.add_job(large, 1, 0.0, &RangeSet::default());
+    // What ends when: tasks run for 20 to 35 s.
+    let (mut seq, mut next) = (1, 10);
+    let mut running: BTreeMap<u64, f64> = BTreeMap::new();
+    for second in 0..(BOUND as u32 + 200) {
+        let now = f64::from(second);
+        if second % 2 == 0 {
+            for _ in 0..if second == 0 { 7 } else { 2 } {
+                let mut small = spec(next, 8, 1.0);
+                (small.priority, small.expected_s) = (Priority::High, 25.0);
+                small.checkpoint_every_s = 0.0;
+                c.add_job(small, 1, now, &RangeSet::default());
+                next += 1;
+            }
+        }
+        seq += 1;
+        for name in names {
+            let tasks: Vec<TaskReport> = c.workers[name]
+                .held
+                .iter()
+                .filter(|h| h.phase != Phase::Planned)
+                .map(|h| {
+                    let over = running.get(&h.attempt).is_some_and(|end| *end <= now);
+                    let (state, cause) = match over || matches!(h.phase, Phase::Ended(_)) {
+                        true => (TaskState::Ended, Some(EndCause::Done)),
+                        false => (TaskState::Running, None),
+                    };
+                    task(&h.task_name(), h.attempt, state, cause)
+                })
+                .collect();
+            for t in &tasks {
+                let run = match t.task.starts_with("req-1/") {
+                    true => 60.0,
+                    false => 20.0 + (t.attempt % 16) as f64,
+                };
+                running.entry(t.attempt).or_insert(now + run);
+            }
+            c.on_report(now, &report(name, 1, seq, TERM, tasks), Source::CheckIn);
+        }
+        if let Some(flush) = c.flush(9, 60_000) {
+            c.flushed(&flush, 1);
+        }
+        let over: Vec<String> = c.completions(99).into_iter().map(|d| d.job).collect();
+        for id in over {
+            c.remove_job(&id, now);
+        }
+        let clears: Vec<(String, u64)> = names
+            .iter()
+            .flat_map(|n| {
+                c.workers[*n]
+                    .held
+                    .iter()
+                    .filter(|h| h.may_clear())
+                    .map(|h| (n.to_string(), h.attempt))
+            })
+            .collect();
+        for (name, attempt) in clears {
+            c.take_off(&name, |h| h.attempt == attempt);
+        }
+        c.cfg.floor.share = 1e-9;
+        c.elect(now);
+        c.call_to_begin(now);
+        round(&mut c, now);
+        let job = &c.jobs["req-1"];
+        if job.started {
+            // It must go on: nobody stops it for what is better.
+            let held = c.workers.values().flat_map(|w| &w.held);
+            let ours = |h: &&Held| h.spec.id == "req-1" && h.ran_s(now) >= 30.0;
+            if let Some(h) = held.filter(|h| h.occupies()).find(ours) {
+                return h.running_since;
+            }
+        }
+    }
+    None
+}
+
+// A job of large tasks waited for 287 and 317 s on the standard day with
+// restarts, behind small urgent ones that took every room as it fell free.
+#[test]
+fn the_largest_begins_in_time_however_many_small_ones_come() {
+    assert_eq!(begun_at(0.0, 60.0), None, "without a bound it never does");
+    let begun = begun_at(BOUND, 60.0).expect("it begins");
+    assert!(begun > BOUND * 0.4 && begun < BOUND * 0.8, "{begun}");
+}
+
+// Where the team is at its limit, its small tasks must not take up what falls
+// free of that, one by one.
+#[test]
+fn a_team_at_its_limit_keeps_what_falls_free_for_its_job_that_is_to_begin() {
+    assert_eq!(begun_at(0.0, 20.0), None);
+    let begun = begun_at(BOUND, 20.0).expect("it begins");
+    assert!(begun < BOUND * 0.8, "{begun}");
+}
+
+// Calm days stay as they are: a job that has begun, and one that waits for less
+// than a good part of the bound, come in no other order than by UPT.
+#[test]
+fn who_is_not_near_the_bound_does_not_come_first() {
+    let mut c = cluster(&["sa"], 100.0);
+    c.add_job(spec(1, 1, 1.0), 1, 100.0, &RangeSet::default());
+    for n in 1..3 {
+        c.floor.largest.insert(format!("req-{n}"), 0);
+    }
+    c.add_job(spec(2, 1, 1.0), 1, -200.0, &RangeSet::first(1));
+    // Older, but one of many.
+    c.add_job(spec(3, 1, 1.0), 1, -200.0, &RangeSet::default());
+    c.call_to_begin(180.0);
+    assert!(c.begins.jobs.is_empty() && c.begins.aside.is_empty());
+    c.call_to_begin(221.0);
+    assert_eq!(c.begins.jobs.keys().collect::<Vec<_>>(), ["req-1"]);
+    // One start is enough, and no second one goes out before it is seen.
+    c.on_report(221.0, &report("sa", 1, 2, TERM, vec![]), Source::CheckIn);
+    c.jobs.get_mut("req-1").unwrap().waiting = RangeSet::first(1);
+    assert_eq!(c.turn_to_begin("req-1"), Some(0));
+    round(&mut c, 221.0);
+    assert_eq!(c.turn_to_begin("req-1"), None);
+    c.call_to_begin(222.0);
+    assert!(
+        c.begins.jobs.contains_key("req-1"),
+        "not for 30 s yet: protected"
+    );
+    assert_eq!(c.turn_to_begin("req-1"), None);
+}
--- a/crates/tallygauge-state/src/budget.rs
+++ b/crates/tallygauge-state/src/budget.rs
@@ -18,7 +18,9 @@
     /// What can be done without.
     Upkeep,
     /// Users' polls: as many as users like, so that they must never take what
-    /// the others need. They come last, and have all that is left.
+    /// the others need. They come last, and have all that is left; besides, a
+    /// small part of the requests is theirs alone, so that each is answered in
+    /// the end however long the others have enough to do.
     Polls,
 }
 
@@ -45,6 +47,16 @@
     }
 }
 
+/// Part of the requests that polls have whatever else there is to do, and the
+/// least of them a second, as far as that is a quarter at most.
+const POLLS_OWN: f64 = 0.05;
+const POLLS_LEAST: f64 = 1.0;
+
+/// Requests a second that polls have whatever else there is to do.
+fn polls_own(requests: f64) -> f64 {
+    (requests * POLLS_OWN).max(POLLS_LEAST.min(requests * 0.25))
+}
+
 struct Bucket {
     rate: f64,
     tokens: f64,
@@ -66,6 +78,9 @@
 struct State {
     requests: Bucket,
     writes: Bucket,
+    /// What polls have of the requests whatever else there is to do. A second
+    /// of it at most is saved up, or one request.
+    polls: Bucket,
     at: Instant,
     waiting: usize,
 }
@@ -90,6 +105,10 @@
                     rate: writes,
                     tokens: writes,
                 },
+                polls: Bucket {
+                    rate: polls_own(requests),
+                    tokens: 1.0,
+                },
                 at: Instant::now(),
                 waiting: 0,
             }),
@@ -102,6 +121,7 @@
         let mut state = self.state.lock().expect("budget lock");
         state.requests.rate = requests;
         state.writes.rate = writes;
+        state.polls.rate = polls_own(requests);
     }
 
     /// Requests a second that this node may make.
@@ -135,9 +155,15 @@
         state.at = now;
         state.requests.refill(passed);
         state.writes.refill(passed);
+        let most = state.polls.rate.max(1.0);
+        state.polls.tokens = (state.polls.tokens + passed * state.polls.rate).min(most);
         let count = writes as f64;
-        let fits =
+        let mut fits =
             state.requests.has(1.0, class) && (writes == 0 || state.writes.has(count, class));
+        if class == Class::Polls && writes == 0 && !fits && state.polls.tokens >= 1.0 {
+            state.polls.tokens -= 1.0;
+            fits = true;
+        }
         if fits {
             state.requests.tokens -= 1.0;
             state.writes.tokens -= count;
@@ -188,6 +214,8 @@
     #[test]
     fn lower_classes_leave_room_for_higher_ones() {
         let budget = Budget::new(10.0, 10.0);
+        // What is kept for polls alone is used up.
+        budget.state.lock().unwrap().polls.tokens = 0.0;
         let mut taken = [0; 4];
         let classes = [
             Class::Polls,
@@ -209,4 +237,28 @@
         budget.refused();
         assert!(!budget.attempt(Class::Users, 0));
     }
+
+    // Polls came last and nothing said that any would ever be taken while the
+    // others had enough to do.
+    #[tokio::test(start_paused = true)]
+    async fn polls_are_taken_however_much_else_there_is_to_do() {
+        let budget = Budget::new(40.0, 40.0);
+        let (mut polls, mut users, mut refused) = (0, 0, 0);
+        for tick in 0..6000 {
+            tokio::time::advance(Duration::from_millis(10)).await;
+            while budget.attempt(Class::Users, 0) {
+                users += 1;
+            }
+            if tick % 10 == 0 {
+                match budget.attempt(Class::Polls, 0) {
+                    true => polls += 1,
+                    false => refused += 1,
+                }
+            }
+        }
+        // 60 s: a twentieth of 40 a second, out of what there is.
+        assert!((110..=125).contains(&polls) && refused > 0, "{polls}");
+        assert!(users + polls <= 40 * 61, "{users}");
+        assert!((polls_own(2.0), polls_own(400.0)) == (0.5, 20.0));
+    }
 }
--- a/crates/tallygauge-wire/src/users.rs
+++ b/crates/tallygauge-wire/src/users.rs
@@ -5,6 +5,9 @@
 /// Seconds that a user waits for the state of a job.
 pub const POLL_WAIT_S: f64 = 2.0;
 
+/// Seconds that a task must run for its start to count.
+pub const START_COUNTS_S: f64 = 30.0;
+
 /// Whether tasks run to completion or until the job is cancelled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/tallygauge/src/control.rs
+++ b/crates/tallygauge/src/control.rs
@@ -65,6 +65,7 @@
             if tick {
                 c.tick(now);
                 c.elect(now);
+                c.call_to_begin(now);
             }
             if sure {
                 let (placed, stopped) = c.plan(now, true);
@@ -124,6 +125,11 @@
 fn summarize(node: &Node, longest_round_s: f64) {
     let backlog = node.state.budget().waiting();
     let lag = *node.lock(&node.lag);
+    let (now, memory_s) = (node.now(), node.poll_memory_s());
+    let unanswered_s = {
+        let unanswered = node.lock(&node.unanswered);
+        unanswered.longest(now, memory_s).map_or(0.0, |l| l.1)
+    };
     let (sockets, sockets_free) = (node.sockets.used(), node.sockets.free());
     node.with_cluster(|c| {
         let held = |w: &tallygauge_sched::Worker| w.held.iter().filter(|h| h.occupies()).count();
@@ -135,6 +141,7 @@
             .sum();
         let up = c.workers.values().filter(|w| w.up()).count();
         let [starting, fetching, busy, free] = c.use_of_cpus();
+        let (to_begin, not_begun_s) = c.to_begin(node.now());
         tracing::info!(
             jobs = c.jobs.len(),
             running,
@@ -145,9 +152,12 @@
             cpus_fetching = fetching,
             cpus_running = busy,
             cpus_free = free,
+            to_begin,
+            not_begun_s = not_begun_s as u64,
             round_ms = (longest_round_s * 1000.0) as u64,
             lag_ms = (lag * 1000.0) as u64,
             writes_waiting = backlog,
+            unanswered_s = unanswered_s as u64,
             sockets,
             sockets_free,
             "summary"
--- a/crates/tallygauge/src/floor.rs
+++ b/crates/tallygauge/src/floor.rs
@@ -55,16 +55,17 @@
     }
 }
 
-/// Classes and teams in one field each: jobs accepted, cancelled, started, done,
+/// Classes (`^`: the largest of one) and teams in one field each: jobs accepted, cancelled, started, done,
 /// of these late, of the open ones overdue; `!N` when N jobs come first for it, `?N` when
 /// N of them fit nowhere.
 #[must_use]
 pub fn shown(c: &Cluster) -> (String, String) {
     let (mut classes, mut teams) = (String::new(), String::new());
     for s in c.standings() {
-        let out = match s.key.kind {
-            Kind::Class => &mut classes,
-            Kind::Team => &mut teams,
+        let (out, of) = match s.key.kind {
+            Kind::Class => (&mut classes, ""),
+            Kind::Largest => (&mut classes, "^"),
+            Kind::Team => (&mut teams, ""),
         };
         let (t, d) = (s.tally, s.demand);
         let accepted = t.done + t.cancelled + u64::from(s.open);
@@ -74,7 +75,7 @@
         }
         let _ = write!(
             out,
-            "{}:{accepted}/{}/{started}/{}/{}/{}",
+            "{}{of}:{accepted}/{}/{started}/{}/{}/{}",
             s.key.name, t.cancelled, t.done, t.late, d.overdue
         );
         if d.need > 0 {
--- a/crates/tallygauge/src/leader.rs
+++ b/crates/tallygauge/src/leader.rs
@@ -3,7 +3,8 @@
 use crate::{
     cloud, control, floor,
     node::{LEADER_KEY, Lead, Node, TERM_KEY},
-    users::OpenRecord,
+    sweep,
+    users::{self, OpenRecord},
     workers,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -177,6 +178,7 @@
         confirmed: asked,
         renewed: granted,
         watched: asked,
+        followed: 0,
         called: node.now(),
     };
     Some(lead)
@@ -266,6 +268,7 @@
         control::run(node, guard.clone()),
         control::finish(node, guard.clone()),
         floor::keep(node, guard),
+        sweep::run(node),
         cloud::run(node, term),
     );
 }
@@ -283,6 +286,7 @@
 async fn load(node: &Node, term: u64) -> Result<u64, Error> {
     let class = Class::Leadership;
     let (open, revision) = node.state.list(class, "o/").await?;
+    users::learn_open(node, open.iter().map(|r| (r.key.as_str(), r.version)));
     let (pages, _) = node.state.list(class, "f/").await?;
     let batches = node.state.list(class, "p/");
     let (batches, kept) = tokio::join!(batches, floor::read(node));
@@ -329,6 +333,7 @@
     cluster.term_at = node.now();
     if let Some(lead) = node.lock(&node.lead).as_mut().filter(|l| l.term == term) {
         lead.cluster = Some(cluster);
+        lead.followed = revision;
     }
     tracing::info!(term, jobs, machines, "picture loaded");
     Ok(revision)
@@ -347,6 +352,7 @@
                 revision = revision.max(changes.revision);
                 if let Some(lead) = node.lock(&node.lead).as_mut() {
                     lead.watched = asked;
+                    lead.followed = revision;
                     if let Some(cluster) = lead.cluster.as_mut() {
                         for change in changes.news {
                             apply(cluster, change, now, time_of_day);
@@ -381,6 +387,9 @@
                         }
                     });
                     revision = at;
+                    if let Some(lead) = node.lock(&node.lead).as_mut() {
+                        lead.followed = at;
+                    }
                     node.wake.notify_one();
                 }
                 Err(_) => tokio::time::sleep(node.term_ttl() / 8).await,
@@ -390,7 +399,8 @@
     }
 }
 
-fn apply(cluster: &mut Cluster, change: Change, now: f64, time_of_day: f64) {
+/// Takes a change of an open job's record up into the picture.
+pub fn apply(cluster: &mut Cluster, change: Change, now: f64, time_of_day: f64) {
     match change {
         Change::Set {
             value,
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod server;
 pub mod settings;
 pub mod sockets;
+pub mod sweep;
 pub mod tuning;
 pub mod users;
 pub mod workers;
@@ -33,6 +34,7 @@
         catalogue,
         leader::run(node.clone()),
         users::answer_queries(node.clone(), questions),
+        users::prime(node.clone()),
     );
 }
 
--- a/crates/tallygauge/src/node.rs
+++ b/crates/tallygauge/src/node.rs
@@ -135,6 +135,8 @@
     pub renewed: f64,
     /// Start of the last watch that was answered.
     pub watched: f64,
+    /// Revision up to which the picture has followed open jobs.
+    pub followed: u64,
     /// When a worker last called.
     pub called: f64,
 }
@@ -161,12 +163,65 @@
 pub struct Query {
     /// What it is for.
     pub class: Class,
+    /// Since when whoever asks has had no answer: the longest come first.
+    pub since: f64,
+    /// When it was asked.
+    pub asked: f64,
     /// Keys and versions.
     pub guards: Vec<Guard>,
     /// Where the answer goes: for each, whether it has; `None`: can't know.
     pub reply: oneshot::Sender<Option<Vec<bool>>>,
 }
 
+/// Jobs whose users have had no answer, for how long, and since when nobody asked
+/// again: bounded, those asked about longest ago are dropped first.
+#[derive(Default)]
+pub struct Unanswered {
+    since: HashMap<String, (f64, f64)>,
+}
+
+/// Jobs that a node knows nothing of, asked about since it last read all open
+/// ones, from which on it reads them again.
+const UNKNOWN_TELL: usize = 8;
+
+/// Jobs that are remembered as unanswered, at most.
+const MOST_UNANSWERED: usize = 4096;
+
+impl Unanswered {
+    /// A job is asked about: since when it has gone without an answer.
+    pub fn asked(&mut self, id: &str, now: f64, memory_s: f64) -> f64 {
+        if let Some(entry) = self.since.get_mut(id) {
+            // Who did not ask again was answered elsewhere.
+            if now - entry.1 > memory_s {
+                entry.0 = now;
+            }
+            entry.1 = now;
+            return entry.0;
+        }
+        if self.since.len() >= MOST_UNANSWERED {
+            self.since.retain(|_, e| now - e.1 <= memory_s);
+        }
+        if self.since.len() < MOST_UNANSWERED {
+            self.since.insert(id.to_string(), (now, now));
+        }
+        now
+    }
+
+    /// It was answered.
+    pub fn answered(&mut self, id: &str) {
+        self.since.remove(id);
+    }
+
+    /// The job that has gone without an answer for longest, of those asked about
+    /// within the last so many seconds, and for how long.
+    #[must_use]
+    pub fn longest(&self, now: f64, memory_s: f64) -> Option<(&str, f64)> {
+        let asked = self.since.iter().filter(|(_, e)| now - e.1 <= memory_s);
+        let longest = asked.min_by(|a, b| a.1.0.total_cmp(&b.1.0).then(a.0.cmp(b.0)));
+        longest.map(|(id, e)| (id.as_str(), now - e.0))
+    }
+}
+
 /// One controller.
 pub struct Node {
     /// Platform's settings.
@@ -220,6 +275,16 @@
     pub leaves_users_until: Mutex<f64>,
     /// Other nodes that answered when last asked, while this node leads.
     pub peers_up: Mutex<usize>,
+    /// Jobs whose users wait for an answer.
+    pub unanswered: Mutex<Unanswered>,
+    /// Jobs asked about that this node knows nothing of, since it last read all
+    /// that are open.
+    pub unknown: Mutex<usize>,
+    /// All open jobs should be read.
+    pub wake_prime: Notify,
+    /// When another node last answered while the state service did not serve
+    /// this one.
+    pub peer_answered: Mutex<f64>,
 }
 
 impl Node {
@@ -269,6 +334,10 @@
             lag: Mutex::new(0.0),
             leaves_users_until: Mutex::new(f64::NEG_INFINITY),
             peers_up: Mutex::new(0),
+            unanswered: Mutex::default(),
+            unknown: Mutex::new(0),
+            wake_prime: Notify::new(),
+            peer_answered: Mutex::new(f64::NEG_INFINITY),
         };
         (Arc::new(node), questions)
     }
@@ -371,6 +440,35 @@
             && self.lock(&self.lead).is_some()
     }
 
+    /// Seconds after which a user who has not asked again is taken to have been
+    /// answered elsewhere.
+    #[must_use]
+    pub fn poll_memory_s(&self) -> f64 {
+        self.settings.deployment.workers.lease_s
+    }
+
+    /// A job is asked about that this node knows nothing of.
+    pub fn note_unknown(&self) {
+        let mut unknown = self.lock(&self.unknown);
+        *unknown += 1;
+        if *unknown == UNKNOWN_TELL {
+            self.wake_prime.notify_one();
+        }
+    }
+
+    /// Whether this node is apart: neither the state service nor any other node
+    /// answers it, so that it can tell users nothing. In an outage of the state
+    /// service alone the others do answer.
+    #[must_use]
+    pub fn apart(&self) -> bool {
+        let patience = self.term_ttl().as_secs_f64();
+        let now = self.now();
+        let failing = self.state.failing_since();
+        let long = failing.is_some_and(|at| at.elapsed().as_secs_f64() > patience);
+        let alone = now - *self.lock(&self.peer_answered) > patience;
+        long && alone && !self.settings.peers.is_empty()
+    }
+
     /// Time to live of the leader's lease at the state service.
     #[must_use]
     pub fn term_ttl(&self) -> Duration {
@@ -409,6 +507,7 @@
             aims: self.settings.loosest_aims(),
             floor: FloorConfig {
                 share: t.floor.share,
+                begin_within_s: t.floor.begin_within,
             },
             // A report must fit a request's body.
             tasks_per_worker: tallygauge_wire::BODY_LIMIT / TASK_REPORT_BYTES,
--- a/crates/tallygauge/src/peers.rs
+++ b/crates/tallygauge/src/peers.rs
@@ -196,6 +196,18 @@
             up = join_all(asked).await.into_iter().filter(|up| *up).count();
         }
         *node.lock(&node.peers_up) = up;
+        // A node that the state service does not serve finds out if it is apart.
+        if node.state.failing_since().is_some() {
+            let asked = clients.iter().map(|(_, client)| {
+                let (mut client, announcement) = (client.clone(), announcement.clone());
+                async move { client.announce(announcement).await.is_ok() }
+            });
+            if join_all(asked).await.into_iter().any(|up| up) {
+                *node.lock(&node.peer_answered) = node.now();
+            }
+        } else {
+            *node.lock(&node.peer_answered) = node.now();
+        }
         if !mine {
             let leader = clients.iter().find(|c| Some(&c.0) == role.leader.as_ref());
             if let Some((_, client)) = leader {
--- a/crates/tallygauge/src/server.rs
+++ b/crates/tallygauge/src/server.rs
@@ -78,9 +78,13 @@
 }
 
 /// Whether the node can judge submissions and tell the state of jobs, and is
-/// not better left to its work by users. It answers them all the same.
+/// not better left to its work by users. It answers them all the same. One that
+/// is apart can tell them nothing: their connections must not stay with it.
 fn ready(node: &Node) -> bool {
-    node.lock(&node.catalogue).is_some() && *node.lock(&node.reached) && !node.leaves_users()
+    node.lock(&node.catalogue).is_some()
+        && *node.lock(&node.reached)
+        && !node.leaves_users()
+        && !node.apart()
 }
 
 /// Serves users, workers and health checks. Never returns.
--- a/crates/tallygauge/src/tuning.rs
+++ b/crates/tallygauge/src/tuning.rs
@@ -32,11 +32,16 @@
     /// Part of the jobs that are done or overdue which is to be done; 0: no
     /// floor.
     pub share: f64,
+    /// Seconds after its acceptance by which every job has begun; 0: no bound.
+    pub begin_within: f64,
 }
 
 impl Default for Floor {
     fn default() -> Self {
-        Self { share: 0.65 }
+        Self {
+            share: 0.65,
+            begin_within: 240.0,
+        }
     }
 }
 
@@ -120,6 +125,12 @@
         if !(0.0..=1.0).contains(&share) {
             return Err(format!("floor/share must be 0 to 1, not {share}"));
         }
+        let within = tuning.floor.begin_within;
+        if !within.is_finite() || within < 0.0 {
+            return Err(format!(
+                "floor/begin-within must be 0 or more, not {within}"
+            ));
+        }
         let w = &tuning.worth;
         if w.low > w.normal || w.normal > w.high || w.high > w.production {
             return Err("worth must not fall from low to production".into());
@@ -149,6 +160,7 @@
             "<tallygauge><idle-wait>-1</idle-wait></tallygauge>",
             "<tallygauge><late-worth>2</late-worth></tallygauge>",
             "<tallygauge><floor><share>1.5</share></floor></tallygauge>",
+            "<tallygauge><floor><begin-within>-1</begin-within></floor></tallygauge>",
             "<tallygauge><worth><high>1</high></worth></tallygauge>",
         ] {
             assert!(Tuning::parse(bad).is_err(), "{bad} was taken");
--- a/crates/tallygauge/src/users.rs
+++ b/crates/tallygauge/src/users.rs
@@ -171,27 +171,34 @@
     }
 }
 
-/// Compares versions at the state service, for many askers at a time.
+/// Compares versions at the state service, for many askers at a time; of polls
+/// those first that have gone without an answer for longest. Whoever has waited
+/// for as long as a user does is let go.
 pub async fn answer_queries(node: Arc<Node>, mut questions: mpsc::Receiver<Query>) {
     let most = node.settings.deployment.state.txn_ops * 4;
     let turns = Arc::new(Semaphore::new(3));
-    while let Some(first) = questions.recv().await {
+    let mut pool: Vec<Query> = Vec::new();
+    loop {
+        if pool.is_empty() {
+            let Some(first) = questions.recv().await else {
+                return;
+            };
+            pool.push(first);
+        }
         // Whoever asks meanwhile shares the request.
         let window = WINDOW / node.state.budget().request_rate().max(1.0);
         tokio::time::sleep(Duration::from_secs_f64(window.min(0.1))).await;
         let Ok(turn) = turns.clone().acquire_owned().await else {
             return;
         };
-        let mut count = first.guards.len();
-        let mut batch = vec![first];
-        while count + 2 <= most {
-            match questions.try_recv() {
-                Ok(query) => {
-                    count += query.guards.len();
-                    batch.push(query);
-                }
-                Err(_) => break,
-            }
+        while let Ok(query) = questions.try_recv() {
+            pool.push(query);
+        }
+        let now = node.now();
+        pool.retain(|q| !q.reply.is_closed() && now - q.asked < POLL_WAIT_S);
+        let batch = first_of(&mut pool, most);
+        if batch.is_empty() {
+            continue;
         }
         let node = node.clone();
         tokio::spawn(async move {
@@ -201,6 +208,19 @@
     }
 }
 
+/// Takes the questions that go first out of those that wait, as many as one
+/// request bears.
+fn first_of(pool: &mut Vec<Query>, most: usize) -> Vec<Query> {
+    pool.sort_by(|a, b| a.class.cmp(&b.class).then(a.since.total_cmp(&b.since)));
+    let mut count = 0;
+    let fits = pool.iter().take_while(|q| {
+        count += q.guards.len();
+        count <= most
+    });
+    let fits = fits.count();
+    pool.drain(..fits).collect()
+}
+
 async fn compare(node: &Node, batch: Vec<Query>) {
     // The most important takes the others along.
     let classes = batch.iter().map(|q| q.class);
@@ -244,10 +264,12 @@
     }
 }
 
-async fn ask(node: &Node, class: Class, guards: Vec<Guard>) -> Option<Vec<bool>> {
+async fn ask(node: &Node, (class, since): (Class, f64), guards: Vec<Guard>) -> Option<Vec<bool>> {
     let (reply, answer) = oneshot::channel();
     let query = Query {
         class,
+        since,
+        asked: node.now(),
         guards,
         reply,
     };
@@ -257,7 +279,7 @@
 
 /// What is true of a job now; `None` if that can't be known. Between the last
 /// look at the clock and the caller's answer there is no await.
-async fn lookup(node: &Node, class: Class, id: &str) -> Option<Found> {
+async fn lookup(node: &Node, class: Class, since: f64, id: &str) -> Option<Found> {
     let guard = |key: String, version| Guard { key, version };
     // Once for each turn that a job's state may take, and once more.
     for _ in 0..4 {
@@ -267,7 +289,7 @@
         match known {
             Some(Known::Over(status, done)) => return Some(Found::Over(status, done)),
             Some(Known::Open(version)) => {
-                if ask(node, class, vec![guard(open_key(id), version)]).await?[0] {
+                if ask(node, (class, since), vec![guard(open_key(id), version)]).await?[0] {
                     if fresh() {
                         return Some(Found::Open);
                     }
@@ -276,9 +298,12 @@
                 node.lock(&node.jobs).forget_open(id, version);
             }
             Some(Known::Stale) | None => {
+                if known.is_none() {
+                    node.note_unknown();
+                }
                 let verdict = ask(
                     node,
-                    class,
+                    (class, since),
                     vec![guard(open_key(id), 0), guard(over_key(id), 0)],
                 )
                 .await?;
@@ -334,17 +359,51 @@
     })
 }
 
+/// Reads all open jobs' versions whenever this node has been asked about several
+/// that it knows nothing of, as after a start: one request for hundreds, where
+/// each would cost two and a failed comparison. No oftener than once a lease.
+pub async fn prime(node: Arc<Node>) {
+    let pause = Duration::from_secs_f64(node.settings.deployment.workers.lease_s);
+    loop {
+        node.wake_prime.notified().await;
+        if let Ok((rows, _)) = node.state.list(Class::Upkeep, "o/").await {
+            learn_open(&node, rows.iter().map(|r| (r.key.as_str(), r.version)));
+            *node.lock(&node.unknown) = 0;
+            tokio::time::sleep(pause).await;
+        } else {
+            tokio::time::sleep(pause / 16).await;
+            node.wake_prime.notify_one();
+        }
+    }
+}
+
+/// Takes up versions of open jobs' records, as far as nothing is known of them.
+/// Before a user is told, the state service is asked whether they still hold.
+pub fn learn_open<'a>(node: &Node, rows: impl Iterator<Item = (&'a str, u64)>) {
+    let mut jobs = node.lock(&node.jobs);
+    for (key, version) in rows {
+        if let Some(id) = key.strip_prefix("o/")
+            && jobs.get(id).is_none()
+        {
+            jobs.put(id, Known::Open(version));
+        }
+    }
+}
+
 /// `GET /work/{id}`
 pub async fn status(node: &Node, id: &str) -> Reply {
     if !valid_job_id(id) {
         return Reply::No(404, "no such job".into());
     }
-    match lookup(node, Class::Polls, id).await {
-        None => later(),
-        Some(what) => match found(node, id, what) {
-            Some(answer) => Reply::Job(200, answer),
-            None => Reply::No(404, "no such job".into()),
-        },
+    let (now, memory_s) = (node.now(), node.poll_memory_s());
+    let since = node.lock(&node.unanswered).asked(id, now, memory_s);
+    let Some(what) = lookup(node, Class::Polls, since, id).await else {
+        return later();
+    };
+    node.lock(&node.unanswered).answered(id);
+    match found(node, id, what) {
+        Some(answer) => Reply::Job(200, answer),
+        None => Reply::No(404, "no such job".into()),
     }
 }
 
@@ -398,7 +457,7 @@
 }
 
 async fn repeat(node: &Node, id: &str) -> Result<Option<Reply>, Reply> {
-    match lookup(node, Class::Users, id).await {
+    match lookup(node, Class::Users, node.now(), id).await {
         None => Err(later()),
         Some(what) => Ok(found(node, id, what).map(|a| Reply::Job(200, answer(id, a.status)))),
     }
@@ -450,7 +509,7 @@
         return Reply::No(404, "no such job".into());
     }
     for _ in 0..3 {
-        match lookup(node, Class::Users, id).await {
+        match lookup(node, Class::Users, node.now(), id).await {
             None => return later(),
             Some(Found::Unknown) => return Reply::No(404, "no such job".into()),
             Some(Found::Over(status, _)) => return Reply::Job(200, answer(id, status)),
