Only a report with our token frees; no answer before the picture; late starts held longer

After a slow watch of the leader before and an outage, cancelled tasks stayed too long. It is fenced now until it has the picture (`Lead::fenced`, the one place). - A placement on record in a later session than its worker's (which had begun again) was held for ever, and its job never done.

Tests changed, as strict: a later session without our token frees nothing any more (it could be a copy); an uncertain start is held until two leases after it was given up, not one.

--- a/crates/tallygauge-sched/src/commands.rs
+++ b/crates/tallygauge-sched/src/commands.rs
@@ -154,13 +154,21 @@
                 Vec::new()
             } else {
                 self.commands(&name, now)
-                    .into_iter()
-                    .filter(|c| !matches!(c, Command::Clear { .. }))
-                    .collect()
             };
             let Some(worker) = self.workers.get_mut(&name) else {
                 continue;
             };
+            // A start goes out in one direct message at most, which may be late:
+            // check-ins bring it again.
+            let fresh = |c: &Command| match c {
+                Command::Start { attempt, .. } => {
+                    let held = worker.held.iter().find(|h| h.attempt == *attempt);
+                    held.is_some_and(|h| !h.sent)
+                }
+                Command::Stop { .. } => true,
+                Command::Clear { .. } => false,
+            };
+            let commands: Vec<Command> = commands.into_iter().filter(fresh).collect();
             let mut starts = Vec::new();
             for command in &commands {
                 if let Command::Start { attempt, .. } = command {
@@ -227,7 +235,9 @@
         for held in &mut worker.held {
             if message.starts.contains(&held.attempt) {
                 held.direct_pending = held.direct_pending.saturating_sub(1);
-                held.uncertain |= !answered && !never_sent;
+                if !answered && !never_sent {
+                    held.uncertain_since = Some(now);
+                }
             }
         }
     }
--- a/crates/tallygauge-sched/src/ledgers.rs
+++ b/crates/tallygauge-sched/src/ledgers.rs
@@ -20,10 +20,20 @@
 impl Cluster {
     /// Ends all attempts of sessions up to `last` on a worker.
     pub(crate) fn end_session(&mut self, name: &str, last: u64, now: f64) {
+        self.end_attempts(name, now, |h| h.session <= last);
+    }
+
+    /// Attempts of a worker are surely over, with the session that they were in.
+    pub(crate) fn end_attempts(
+        &mut self,
+        name: &str,
+        now: f64,
+        which: impl FnMut(&mut Held) -> bool,
+    ) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.strays.clear();
         }
-        for held in self.take_off(name, |h| h.session <= last) {
+        for held in self.take_off(name, which) {
             if held.occupies() {
                 self.lose(name, &held, now);
                 self.events.push((
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -288,9 +288,9 @@
     pub sent: bool,
     /// Direct messages with its start that wait for an answer.
     pub direct_pending: u32,
-    /// A direct message with its start was never answered and may yet arrive:
-    /// in this session the attempt must stay known to the worker.
-    pub uncertain: bool,
+    /// Since when a direct message with its start was given up that may yet
+    /// arrive: in this session the attempt must stay known to the worker.
+    pub uncertain_since: Option<f64>,
     /// What its end means is durable.
     pub end_durable: bool,
     /// The batch of placements that it is on record in.
@@ -317,7 +317,7 @@
             inherited: false,
             sent: false,
             direct_pending: 0,
-            uncertain: false,
+            uncertain_since: None,
             end_durable: false,
             batch: None,
             carried: false,
@@ -339,10 +339,13 @@
     /// Whether the worker may be told to forget it.
     #[must_use]
     pub fn may_clear(&self) -> bool {
-        matches!(self.phase, Phase::Ended(_))
-            && self.end_durable
-            && self.direct_pending == 0
-            && !self.uncertain
+        matches!(self.phase, Phase::Ended(_)) && self.end_durable && !self.may_yet_start()
+    }
+
+    /// Whether a direct message with its start may still be on its way.
+    #[must_use]
+    pub fn may_yet_start(&self) -> bool {
+        self.direct_pending > 0 || self.uncertain_since.is_some()
     }
 
     /// `req-000412/3`.
--- a/crates/tallygauge-sched/src/reports.rs
+++ b/crates/tallygauge-sched/src/reports.rs
@@ -138,7 +138,9 @@
         {
             return Verdict::Taken;
         }
-        if report.session > 1 {
+        // Without our token it may be of another life: one that ended before this
+        // term, its sessions beyond those of the one that runs our tasks.
+        if report.session > 1 && report.token == term {
             self.end_session(&report.machine, report.session - 1, now);
         }
         self.take_tasks(now, report, source);
@@ -257,7 +259,7 @@
         };
         let there = |h: &Held| word.tasks.iter().any(|t| t.attempt == h.attempt);
         let gone = self.take_off(name, |h| {
-            h.phase != Phase::Planned && h.direct_pending == 0 && !h.uncertain && !there(h)
+            h.phase != Phase::Planned && !h.may_yet_start() && !there(h)
         });
         for held in gone.iter().filter(|h| h.occupies()) {
             self.lose(name, held, now);
@@ -277,9 +279,10 @@
             let there = seen.get(&h.attempt).is_some_and(|t| h.is_called(&t.task));
             !there
                 && fenced
-                && h.session == report.session
-                && h.direct_pending == 0
-                && !h.uncertain
+                // A later session than a worker with our token has reached is one
+                // of another life of it: it has begun again since.
+                && (h.session == report.session || h.inherited)
+                && !h.may_yet_start()
                 && match h.phase {
                     Phase::Planned => false,
                     // A start of this term is sent again until it is seen,
--- a/crates/tallygauge-sched/src/tests/judging.rs
+++ b/crates/tallygauge-sched/src/tests/judging.rs
@@ -378,9 +378,13 @@
         2,
         "held until the session is over"
     );
-    c.tick(104.1 + c.cfg.stretched(c.cfg.lease_s) - 0.1);
-    assert_eq!(c.jobs["req-1"].holds.len(), 2);
-    c.tick(104.1 + c.cfg.stretched(c.cfg.lease_s) + 0.1);
+    // Given up at 103, it may arrive for a lease, and run for another.
+    let lease = c.cfg.stretched(c.cfg.lease_s);
+    for now in [104.1 + lease + 0.1, 103.0 + 2.0 * lease - 0.1] {
+        c.tick(now);
+        assert_eq!(c.jobs["req-1"].holds.len(), 2, "at {now}");
+    }
+    c.tick(103.0 + 2.0 * lease + 0.1);
     assert_eq!(c.jobs["req-1"].waiting.len(), 2);
 }
 
--- a/crates/tallygauge-sched/src/tests/mod.rs
+++ b/crates/tallygauge-sched/src/tests/mod.rs
@@ -601,14 +601,30 @@
     assert!(round(&mut c, 101.0).is_empty());
     c.on_report(102.0, &report("sa", 1, 5, TERM, vec![]), Source::CheckIn);
     assert_eq!(round(&mut c, 102.0).len(), 1);
-    // The session ended.
+    // The session ended, and not that of a life before the one on record: only a
+    // report with our token is surely newer than the record.
     let mut c = fresh();
     c.on_report(
         101.0,
         &report("sa", 2, 1, TERM - 1, vec![]),
         Source::CheckIn,
     );
-    assert_eq!(round(&mut c, 101.0).len(), 1);
+    assert!(round(&mut c, 101.0).is_empty());
+    c.on_report(102.0, &report("sa", 2, 2, TERM, vec![]), Source::CheckIn);
+    assert_eq!(round(&mut c, 102.0).len(), 1);
+    // A lower one than on record is one of another life, which began since.
+    let mut c = fresh();
+    let mut later = record.clone();
+    later.workers[0].session = 3;
+    c.inherit("2-8", &later, 100.0, 0.0);
+    for (session, seq) in [(1, 5), (2, 1)] {
+        c.on_report(
+            102.0,
+            &report("sa", session, seq, TERM, vec![]),
+            Source::CheckIn,
+        );
+    }
+    assert!(c.workers["sa"].held.is_empty(), "held for ever");
     // Nothing is heard: until no earlier leader can have kept its lease alive.
     let mut c = fresh();
     let bound = 100.0 + 17.0 + 20.0;
--- a/crates/tallygauge/src/leader.rs
+++ b/crates/tallygauge/src/leader.rs
@@ -59,10 +59,6 @@
     Ok(terms)
 }
 
-fn jitter(most: Duration) -> Duration {
-    most.mul_f64(rand::random::<f64>())
-}
-
 /// Follows the term, and leads whenever this node wins it. Never returns.
 pub async fn run(node: Arc<Node>) {
     let ttl = node.term_ttl();
@@ -70,7 +66,7 @@
         let terms = match read_terms(&node).await {
             Ok(terms) => terms,
             Err(_) => {
-                tokio::time::sleep(ttl / 8 + jitter(ttl / 8)).await;
+                tokio::time::sleep(ttl / 8 + node.jitter(ttl / 8)).await;
                 continue;
             }
         };
@@ -86,7 +82,7 @@
                 let lease = match node.state.grant(ttl).await {
                     Ok(lease) => lease,
                     Err(_) => {
-                        tokio::time::sleep(ttl / 8 + jitter(ttl / 8)).await;
+                        tokio::time::sleep(ttl / 8 + node.jitter(ttl / 8)).await;
                         continue;
                     }
                 };
@@ -94,7 +90,7 @@
                     Some(lead) => {
                         office(&node, lead, lease).await;
                         let _ = node.state.end_lease(lease).await;
-                        tokio::time::sleep(jitter(ttl / 4)).await;
+                        tokio::time::sleep(node.jitter(ttl / 4)).await;
                     }
                     None => {
                         let _ = node.state.end_lease(lease).await;
@@ -111,7 +107,7 @@
     let block = node.term_ttl() * 2;
     match node.state.changes("t/", revision, block).await {
         Ok(Watched::Changes(_) | Watched::TooOld) => {}
-        Err(_) => tokio::time::sleep(jitter(node.term_ttl() / 4)).await,
+        Err(_) => tokio::time::sleep(node.jitter(node.term_ttl() / 4)).await,
     }
 }
 
@@ -192,6 +188,7 @@
     node.hear_of(term, Some(&node.settings.node_name));
     share(node, true);
     tokio::select! {
+        biased;
         () = keep(node, lease) => {}
         () = work(node, term, guard) => {}
         () = lost(node, term) => {}
@@ -351,6 +348,8 @@
     if let Some(lead) = node.lock(&node.lead).as_mut().filter(|l| l.term == term) {
         lead.cluster = Some(cluster);
         lead.followed = revision;
+        // None could be answered until now.
+        lead.called = node.now();
     }
     tracing::info!(term, jobs, machines, "picture loaded");
     Ok((revision, kept))
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -31,7 +31,7 @@
     let pause = Duration::from_secs_f64(2.0 / node.settings.deployment.cloud.rps);
     let catalogue = async {
         while !cloud::read_catalogue(&node).await {
-            tokio::time::sleep(pause.mul_f64(1.0 + rand::random::<f64>())).await;
+            tokio::time::sleep(pause + node.jitter(pause)).await;
         }
     };
     tokio::join!(
--- a/crates/tallygauge/src/node.rs
+++ b/crates/tallygauge/src/node.rs
@@ -1,6 +1,7 @@
 //! What the parts of a controller share.
 
 use crate::{relay::Relay, settings::Settings, sockets::Sockets, tuning::Tuning};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::{
     collections::{BTreeSet, HashMap, VecDeque},
     sync::{Arc, Mutex, MutexGuard},
@@ -133,7 +134,8 @@
     /// Start of the last renewal of the lease that was answered: for its time
     /// to live from then no other node can win a term.
     pub renewed: f64,
-    /// Start of the last watch that was answered.
+    /// Start of the last watch of jobs that was answered and taken up: all that
+    /// was cancelled by then is known to the picture.
     pub watched: f64,
     /// Revision up to which the picture has followed open jobs.
     pub followed: u64,
@@ -142,11 +144,13 @@
 }
 
 impl Lead {
-    /// Whether the term was not confirmed, or the watch of jobs not answered,
-    /// for longer than `fence`: workers are neither answered nor commanded.
+    /// Whether workers are neither answered nor commanded: the picture does not
+    /// hold all cancellations confirmed by anybody more than `fence` ago, or the
+    /// term may have passed on for that long. A leader that has no picture yet
+    /// holds none, however lately it has won its term.
     #[must_use]
     pub fn fenced(&self, now: f64, fence: f64) -> bool {
-        now - self.confirmed.min(self.watched) > fence
+        self.cluster.is_none() || now - self.confirmed.min(self.watched) > fence
     }
 }
 
@@ -282,6 +286,8 @@
     pub unknown: Mutex<usize>,
     /// All open jobs should be read.
     pub wake_prime: Notify,
+    /// Deals out chance, so that nodes don't act in step.
+    pub chance: Mutex<StdRng>,
     /// When another node last answered while the state service did not serve
     /// this one.
     pub peer_answered: Mutex<f64>,
@@ -337,6 +343,7 @@
             unanswered: Mutex::default(),
             unknown: Mutex::new(0),
             wake_prime: Notify::new(),
+            chance: Mutex::new(StdRng::seed_from_u64(rand::random())),
             peer_answered: Mutex::new(f64::NEG_INFINITY),
         };
         (Arc::new(node), questions)
@@ -539,6 +546,12 @@
             .map(work)
     }
 
+    /// A random part of a time.
+    #[must_use]
+    pub fn jitter(&self, most: Duration) -> Duration {
+        most.mul_f64(self.lock(&self.chance).random())
+    }
+
     /// Takes up word of a term. Own leadership under a lower one ends at once.
     pub fn hear_of(&self, term: u64, leader: Option<&str>) {
         {
--- a/crates/tallygauge/src/workers.rs
+++ b/crates/tallygauge/src/workers.rs
@@ -69,30 +69,27 @@
                 deposed = Some(report.token);
                 None
             }
-            // Unconfirmed for too long: whoever leads now may have cancelled
-            // or placed what these workers run.
+            // Whoever leads now may have placed what these workers run, and any
+            // node may have cancelled it: an answer would renew their leases.
             Some(lead) if lead.fenced(now, fence) => {
                 return CheckIn::NotNow;
             }
             Some(lead) => {
                 let term = lead.term;
-                let commands = match lead.cluster.as_mut() {
-                    None => Vec::new(),
-                    Some(cluster) => {
-                        match cluster.on_report(now, &report, Source::CheckIn) {
-                            Verdict::Taken | Verdict::Overtaken => {}
-                            // A copy of what was answered long ago renews no
-                            // lease and brings no orders.
-                            Verdict::Stale | Verdict::Dead | Verdict::Deposed(_) => {
-                                return CheckIn::NotNow;
-                            }
-                        }
-                        changed = std::mem::take(&mut cluster.changed);
-                        let commands = cluster.commands(&report.machine, now);
-                        cluster.answered(&report.machine, &commands, now);
-                        commands
-                    }
+                let Some(cluster) = lead.cluster.as_mut() else {
+                    return CheckIn::NotNow;
                 };
+                match cluster.on_report(now, &report, Source::CheckIn) {
+                    Verdict::Taken | Verdict::Overtaken => {}
+                    // A copy of what was answered long ago renews no lease and
+                    // brings no orders.
+                    Verdict::Stale | Verdict::Dead | Verdict::Deposed(_) => {
+                        return CheckIn::NotNow;
+                    }
+                }
+                changed = std::mem::take(&mut cluster.changed);
+                let commands = cluster.commands(&report.machine, now);
+                cluster.answered(&report.machine, &commands, now);
                 lead.called = now;
                 Some(ReportAnswer {
                     token: term,
