A team's limit of 0 is none: guests were refused with 422

Cause: the platform's settings say 0 where a team has no limit (its pages: a value of 0 means none), and a guest team has neither guarantee nor limit.

--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -22,11 +22,11 @@
     pub name: String,
     /// Guaranteed CPUs.
     pub cpus: f64,
-    /// Most CPUs.
+    /// Most CPUs; infinite where there is no limit.
     pub cpus_max: f64,
     /// Guaranteed GPUs.
     pub gpus: f64,
-    /// Most GPUs.
+    /// Most GPUs; infinite where there is no limit.
     pub gpus_max: f64,
 }
 
--- a/crates/tallygauge/src/settings.rs
+++ b/crates/tallygauge/src/settings.rs
@@ -69,12 +69,12 @@
     pub name: String,
     /// Guaranteed CPUs.
     pub cpus: f64,
-    /// Most CPUs.
+    /// Most CPUs; 0: no limit.
     pub cpus_max: f64,
     /// Guaranteed GPUs.
     #[serde(default)]
     pub gpus: f64,
-    /// Most GPUs.
+    /// Most GPUs; 0: no limit.
     #[serde(default)]
     pub gpus_max: f64,
 }
@@ -251,18 +251,20 @@
         aims
     }
 
-    /// Teams as the scheduler takes them.
+    /// Teams as the scheduler takes them. Where a limit is 0 there is none: guests
+    /// have neither guarantee nor limit.
     #[must_use]
     pub fn teams(&self) -> Vec<TeamConfig> {
+        let limit = |most: f64| if most > 0.0 { most } else { f64::INFINITY };
         self.deployment
             .teams
             .iter()
             .map(|t| TeamConfig {
                 name: t.name.clone(),
                 cpus: t.cpus,
-                cpus_max: t.cpus_max,
+                cpus_max: limit(t.cpus_max),
                 gpus: t.gpus,
-                gpus_max: t.gpus_max,
+                gpus_max: limit(t.gpus_max),
             })
             .collect()
     }
@@ -292,6 +294,20 @@
         })
     }
 
+    // A guest team, whose guarantee and limit are 0, was refused for good: 422.
+    #[test]
+    fn a_limit_of_0_is_none() {
+        let mut guests = example();
+        let none = serde_json::json!({"name": "g", "cpus": 0.0, "cpus_max": 0.0});
+        guests["deployment"]["teams"]
+            .as_array_mut()
+            .unwrap()
+            .push(none);
+        let teams = Settings::parse(&guests.to_string()).unwrap().teams();
+        let limits: Vec<(f64, f64)> = teams.iter().map(|t| (t.cpus, t.cpus_max)).collect();
+        assert_eq!(limits, [(8.0, 16.0), (0.0, f64::INFINITY)]);
+    }
+
     #[test]
     fn bad_settings_are_named() {
         Settings::parse(&example().to_string()).unwrap();
