--- a/crates/tallygauge-state/src/lib.rs
+++ b/crates/tallygauge-state/src/lib.rs
@@ -22,7 +22,7 @@
     time::Duration,
 };
 use tallygauge_wire::state::{
-    Changes, Conflict, Lease, LeaseRequest, Page, Revision, Row, Transaction,
+    Changes, Conflict, Lease, LeaseRequest, Page, Revision, Row, Transaction, Write,
 };
 use tokio::time::Instant;
 
@@ -211,7 +211,9 @@
                 Ok(Outcome::NoLease)
             }
             StatusCode::BAD_REQUEST => {
-                tracing::error!(body = %String::from_utf8_lossy(&body), "state service calls a transaction malformed");
+                let (key, bytes) = largest(txn);
+                let (body, writes) = (String::from_utf8_lossy(&body), txn.writes.len());
+                tracing::error!(%body, writes, largest = key, bytes, "state service calls a transaction malformed");
                 Err(Error::Refused)
             }
             _ => Err(Error::Unknown),
@@ -310,6 +312,15 @@
     }
 }
 
+/// The key with the longest value of a transaction, and its bytes.
+fn largest(txn: &Transaction) -> (&str, usize) {
+    let sizes = txn.writes.iter().map(|write| match write {
+        Write::Set { key, value, .. } => (key.as_str(), value.to_string().len()),
+        Write::Remove { key } => (key.as_str(), 0),
+    });
+    sizes.max_by_key(|s| s.1).unwrap_or_default()
+}
+
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
     serde_json::from_slice(body).map_err(|error| {
         if first_time(&format!("state service: {error}")) {
