--- a/crates/tallygauge-sched/src/pages.rs
+++ b/crates/tallygauge-sched/src/pages.rs
@@ -15,7 +15,9 @@
     version: u64,
     /// An unanswered write may have changed it: its version must be read.
     unsure: bool,
-    parts: BTreeMap<Part, usize>,
+    /// Parts and their content as last put here: what a write takes along of parts
+    /// that it does not change must have the size that was reckoned with.
+    parts: BTreeMap<Part, RangeSet>,
     bytes: usize,
 }
 
@@ -37,8 +39,8 @@
     pub writes: Vec<PageWrite>,
     /// Changed parts on them.
     pub parts: BTreeSet<Part>,
-    /// Parts that this moves, with the pages they come from.
-    moved: Vec<(Part, u32)>,
+    /// Parts that this moves, with the pages they come from and what these held.
+    moved: Vec<(Part, u32, RangeSet)>,
 }
 
 /// Which part is on which page.
@@ -46,6 +48,9 @@
 pub struct Pages {
     pages: BTreeMap<u32, Page>,
     place: HashMap<Part, u32>,
+    /// Further pages that a part may be on: it was to move, and nobody knows if it
+    /// did. It stays on both until the new page was surely written.
+    also: HashMap<Part, BTreeSet<u32>>,
     limit: usize,
 }
 
@@ -79,28 +84,43 @@
             };
             let Ok(chunk) = chunk.parse() else { continue };
             let part: Part = (job.to_string(), chunk);
-            let bytes = size(&part, &ranges);
-            entry.parts.insert(part.clone(), bytes);
-            entry.bytes += bytes;
-            self.place.insert(part.clone(), page);
+            entry.bytes += size(&part, &ranges);
+            entry.parts.insert(part.clone(), ranges.clone());
+            if let Some(other) = self.place.insert(part.clone(), page) {
+                self.also.entry(part.clone()).or_default().insert(other);
+            }
             out.push((part, ranges));
         }
         out
     }
 
     fn drop_part(&mut self, part: &Part) {
-        if let Some(at) = self.place.remove(part)
-            && let Some(page) = self.pages.get_mut(&at)
-            && let Some(bytes) = page.parts.remove(part)
+        if let Some(at) = self.place.remove(part) {
+            self.drop_from(at, part);
+        }
+    }
+
+    fn drop_from(&mut self, page: u32, part: &Part) {
+        if let Some(page) = self.pages.get_mut(&page)
+            && let Some(ranges) = page.parts.remove(part)
         {
-            page.bytes -= bytes;
+            page.bytes -= size(part, &ranges);
+        }
+    }
+
+    /// Drops a part from the further pages that it may be on.
+    fn drop_others(&mut self, part: &Part) {
+        for page in self.also.remove(part).unwrap_or_default() {
+            self.drop_from(page, part);
         }
     }
 
     /// A job is over: its parts are left out of the next write of their pages.
     pub fn forget(&mut self, job: &str, chunks: u32) {
         for chunk in 0..chunks {
-            self.drop_part(&(job.to_string(), chunk));
+            let part = (job.to_string(), chunk);
+            self.drop_part(&part);
+            self.drop_others(&part);
         }
     }
 
@@ -117,12 +137,13 @@
         let mut chosen = BTreeSet::new();
         let mut total = 0;
         for part in changed {
-            let need = size(part, &ranges(part));
+            let content = ranges(part);
+            let need = size(part, &content);
             let here = self.place.get(part).copied();
             let fits = |page: &Page, had: usize| page.bytes - had + need <= self.limit;
             let at = here
                 .filter(|at| {
-                    fits(&self.pages[at], self.pages[at].parts[part])
+                    fits(&self.pages[at], size(part, &self.pages[at].parts[part]))
                         || self.pages[at].parts.len() == 1
                 })
                 .or_else(|| {
@@ -148,9 +169,10 @@
             total += more;
             chosen.extend(new);
             if let Some(from) = here.filter(|from| *from != at) {
-                flush.moved.push((part.clone(), from));
+                let held = self.pages[&from].parts[part].clone();
+                flush.moved.push((part.clone(), from, held));
             }
-            self.put(part, at, need);
+            self.put(part, at, content);
             flush.parts.insert(part.clone());
         }
         flush.writes = chosen
@@ -160,19 +182,23 @@
                 version: self.pages[&n].version,
                 record: self.pages[&n]
                     .parts
-                    .keys()
-                    .map(|p| (name(p), ranges(p)))
+                    .iter()
+                    .map(|(p, ranges)| (name(p), ranges.clone()))
                     .collect(),
             })
             .collect();
         flush
     }
 
-    fn put(&mut self, part: &Part, at: u32, bytes: usize) {
+    fn put(&mut self, part: &Part, at: u32, ranges: RangeSet) {
         self.drop_part(part);
+        self.drop_from(at, part);
+        if let Some(others) = self.also.get_mut(part) {
+            others.remove(&at);
+        }
         let page = self.pages.entry(at).or_default();
-        page.parts.insert(part.clone(), bytes);
-        page.bytes += bytes;
+        page.bytes += size(part, &ranges);
+        page.parts.insert(part.clone(), ranges);
         self.place.insert(part.clone(), at);
     }
 
@@ -199,17 +225,31 @@
         page.version = if write.record.is_empty() { 0 } else { revision };
         if page.version == 0 && page.parts.is_empty() {
             self.pages.remove(&write.page);
+        } else if !self.also.is_empty() {
+            let settled = |p: &&Part| self.place.get(*p) == Some(&write.page);
+            let settled: Vec<Part> = page.parts.keys().filter(settled).cloned().collect();
+            for part in settled {
+                self.drop_others(&part);
+            }
         }
     }
 
-    /// The flush was not made, or (`doubt`) may have been, or failed for a
-    /// page's version: what it moved stays where it was, lest the next write of
-    /// the old page drop what no other page has yet.
+    /// The flush was not made: what it moved stays where it was. Or (`doubt`) it
+    /// may have been, or failed for a page's version: then what it moved is on both
+    /// pages, lest the next write of either drop what the other has not.
     pub fn failed(&mut self, flush: &PageFlush, doubt: bool) {
-        for (part, from) in &flush.moved {
-            if let Some(at) = self.place.get(part).copied() {
-                let bytes = self.pages[&at].parts[part];
-                self.put(part, *from, bytes);
+        for (part, from, held) in &flush.moved {
+            if !self.place.contains_key(part) {
+                continue;
+            }
+            if doubt {
+                self.drop_from(*from, part);
+                let page = self.pages.entry(*from).or_default();
+                page.bytes += size(part, held);
+                page.parts.insert(part.clone(), held.clone());
+                self.also.entry(part.clone()).or_default().insert(*from);
+            } else {
+                self.put(part, *from, held.clone());
             }
         }
         if doubt {
@@ -231,6 +271,7 @@
         let over: Vec<Part> = self.place.keys().filter(|p| !open(&p.0)).cloned().collect();
         for part in over {
             self.drop_part(&part);
+            self.drop_others(&part);
         }
     }
 
@@ -280,10 +321,11 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig { cases: 96, rng_seed: proptest::test_runner::RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default() })]
+        #![proptest_config(ProptestConfig { cases: 256, rng_seed: proptest::test_runner::RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::default() })]
         // What was once durable stays so, whatever becomes of later writes and
         // wherever parts move; a page never outgrows its limit while it holds
-        // several parts.
+        // several parts, also when not all that has changed is written at once: with
+        // an array of 25,000 tasks a page was too large for the state service.
         #[test]
         fn what_is_durable_stays_so(steps in prop::collection::vec((0usize..6, 0u32..60, 0u8..5), 1..80)) {
             let mut pages = Pages::new(LIMIT);
@@ -297,7 +339,7 @@
                 finished.entry(part.clone()).or_default().insert(task * 2);
                 dirty.insert(part);
                 let changed: Vec<Part> = dirty.iter().cloned().collect();
-                let flush = pages.write(&changed, 3, 10_000, |p| finished[p].clone());
+                let flush = pages.write(&changed, 3, if task % 2 == 0 { 300 } else { 10_000 }, |p| finished[p].clone());
                 prop_assert!(flush.writes.len() <= 3);
                 for write in &flush.writes {
                     let bytes = serde_json::to_string(&write.record).unwrap().len();
@@ -327,6 +369,10 @@
                         }
                     }
                 }
+                for page in pages.pages.values() {
+                    let bytes: usize = page.parts.iter().map(|(p, r)| size(p, r)).sum();
+                    prop_assert_eq!(page.bytes, bytes);
+                }
                 let there = union(&kept);
                 for (part, tasks) in &durable {
                     prop_assert!(there.get(part).is_some_and(|t| t.is_superset(tasks)), "{part} lost tasks");
