--- a/crates/tallygauge-world/src/lib.rs
+++ b/crates/tallygauge-world/src/lib.rs
@@ -84,6 +84,9 @@
     /// Part of the transactions that get no answer and are carried out 2 to 12
     /// seconds later.
     pub late_writes: f64,
+    /// The next transaction that writes a key which begins with this gets no answer
+    /// and is carried out so many seconds later.
+    pub late_once: Option<(&'static str, f64)>,
     /// Part of the direct messages that reach their worker late, and after how many
     /// seconds at most.
     pub holding: (f64, f64),
@@ -195,6 +198,7 @@
                 refused: BTreeSet::new(),
                 down: false,
                 late_writes: 0.0,
+                late_once: None,
                 holding: (0.0, 0.0),
                 held_back: Vec::new(),
                 frozen: HashMap::new(),
--- a/crates/tallygauge-world/src/state.rs
+++ b/crates/tallygauge-world/src/state.rs
@@ -55,10 +55,18 @@
                 return Ok(status(503, json!({})));
             }
             let writes = path == "/multi" && String::from_utf8_lossy(body).contains("\"writes\"");
-            let late = inner.late_writes;
-            if writes && late > 0.0 && inner.chance.random::<f64>() < late {
-                let due = now + inner.chance.random_range(2.0..12.0);
-                inner.store.unsettled.push((due, body.to_vec()));
+            let share = inner.late_writes;
+            let mut late_s = None;
+            if writes && share > 0.0 && inner.chance.random::<f64>() < share {
+                late_s = Some(inner.chance.random_range(2.0..12.0));
+            }
+            let text = String::from_utf8_lossy(body);
+            let meant = |o: &mut (&str, f64)| text.contains(&format!("\"set\":\"{}", o.0));
+            if let Some((_, for_s)) = inner.late_once.take_if(meant) {
+                late_s = Some(for_s);
+            }
+            if let Some(late_s) = late_s {
+                inner.store.unsettled.push((now + late_s, body.to_vec()));
                 None
             } else {
                 inner.store.expire(now);
--- a/crates/tallygauge-world/tests/meetings.rs
+++ b/crates/tallygauge-world/tests/meetings.rs
@@ -190,6 +190,29 @@
     }
 }
 
+// The page of finished tasks, written late over a newer one of the same leader, would
+// take back what is durable and cleared: the next leader would run it again.
+#[tokio::test(start_paused = true)]
+async fn a_page_written_late_takes_nothing_back() {
+    let (world, a, ta) = led().await;
+    // The team has room for two at a time.
+    let (id, body) = world.job(1, 5, 8.0, 12.0);
+    accepted(&a, &body).await;
+    world.inner.lock().unwrap().late_once = Some(("f/", 18.0));
+    let late = until(60.0, async || {
+        world.inner.lock().unwrap().late_once.is_none()
+    });
+    assert!(late.await);
+    // Two more end, and are on record; then the first write is carried out.
+    tokio::time::sleep(Duration::from_secs(19)).await;
+    ta.abort();
+    world.forget_node("n-a");
+    let (b, _tb) = world.node("n-b");
+    assert!(done(&b, &id).await);
+    assert_eq!(started(&world), 5, "none runs again");
+    world.assert_rules();
+}
+
 /// Cancels a job while transactions may get no answer.
 async fn cancel_late(world: &World, node: &Arc<Node>, id: &str) {
     let told = until(60.0, async || {
