--- a/crates/tallygauge-world/tests/meetings.rs
+++ b/crates/tallygauge-world/tests/meetings.rs
@@ -316,6 +316,26 @@
     }
 }
 
+// The leader ends when it has heard of ends that are not on record yet: whoever did
+// the work must still know of it.
+#[tokio::test(start_paused = true)]
+async fn a_leader_ends_between_a_task_s_end_and_its_record() {
+    let (world, a, ta) = led().await;
+    let (id, body) = world.job(1, 3, 8.0, 12.0);
+    accepted(&a, &body).await;
+    world.inner.lock().unwrap().late_once = Some(("f/", 300.0));
+    let heard = until(60.0, async || {
+        a.with_cluster(|c| c.counts(&id)).flatten().map(|c| c.0) == Some(2)
+    });
+    assert!(heard.await);
+    ta.abort();
+    world.forget_node("n-a");
+    let (b, _tb) = world.node("n-b");
+    assert!(done(&b, &id).await);
+    assert_eq!(started(&world), 3, "none runs again");
+    world.assert_rules();
+}
+
 // What the leader that is cut off tells its users and workers, until its fence and
 // after its return.
 #[tokio::test(start_paused = true)]
