--- a/crates/tallygauge-sched/src/machines.rs
+++ b/crates/tallygauge-sched/src/machines.rs
@@ -146,21 +146,6 @@
         }
     }
 
-    /// When an attempt is over at the latest with its worker's session. Where its
-    /// start may still be on its way, the worker may have begun again unheard: in
-    /// the session of the same number such a start is carried out, and what it
-    /// starts lives for a lease more. What is held up for longer than a lease, on
-    /// a machine that has begun again meanwhile, is not covered.
-    fn surely_over(&self, worker: &Worker, held: &Held) -> f64 {
-        let session_end = self.session_end(worker);
-        let lease = self.cfg.stretched(self.cfg.lease_s);
-        match held.uncertain_since {
-            _ if held.direct_pending > 0 => f64::INFINITY,
-            Some(at) => session_end.max(at + 2.0 * lease),
-            None => session_end,
-        }
-    }
-
     /// Lets time pass: sessions end, notices run out, machines are given up.
     pub fn tick(&mut self, now: f64) {
         let over = |w: &&Worker| !w.held.is_empty() && now > self.session_end(w);
@@ -176,13 +161,14 @@
             };
             let sessions = worker.held.iter().map(|h| h.session);
             let last = sessions.max().unwrap_or(0).max(worker.session);
-            let over = |h: &&Held| now > self.surely_over(worker, h);
-            let over = worker.held.iter().filter(over).map(|h| h.attempt);
-            let over: BTreeSet<u64> = over.collect();
+            let (session_end, lease) = (
+                self.session_end(worker),
+                self.cfg.stretched(self.cfg.lease_s),
+            );
             if let Some(worker) = self.workers.get_mut(&name) {
                 worker.dead_session = worker.dead_session.max(last);
             }
-            self.end_attempts(&name, now, |h| over.contains(&h.attempt));
+            self.end_attempts(&name, now, |h| now > h.surely_over(session_end, lease));
         }
         let wanting: Vec<String> = self
             .workers
--- a/crates/tallygauge-sched/src/model.rs
+++ b/crates/tallygauge-sched/src/model.rs
@@ -348,6 +348,20 @@
         self.direct_pending > 0 || self.uncertain_since.is_some()
     }
 
+    /// When it is over at the latest, its worker's session ending as given. Where
+    /// its start may still be on its way, the worker may have begun again unheard:
+    /// in the session of the same number such a start is carried out, and what it
+    /// starts lives for a lease more. What is held up for longer than a lease, on
+    /// a machine that has begun again meanwhile, is not covered.
+    #[must_use]
+    pub fn surely_over(&self, session_end: f64, lease: f64) -> f64 {
+        match self.uncertain_since {
+            _ if self.direct_pending > 0 => f64::INFINITY,
+            Some(at) => session_end.max(at + 2.0 * lease),
+            None => session_end,
+        }
+    }
+
     /// `req-000412/3`.
     #[must_use]
     pub fn task_name(&self) -> String {
--- a/crates/tallygauge-sched/src/pages.rs
+++ b/crates/tallygauge-sched/src/pages.rs
@@ -21,6 +21,21 @@
     bytes: usize,
 }
 
+impl Page {
+    /// Holds a part with this content, and no other of it.
+    fn hold(&mut self, part: &Part, ranges: RangeSet) {
+        self.drop_part(part);
+        self.bytes += size(part, &ranges);
+        self.parts.insert(part.clone(), ranges);
+    }
+
+    fn drop_part(&mut self, part: &Part) {
+        if let Some(ranges) = self.parts.remove(part) {
+            self.bytes -= size(part, &ranges);
+        }
+    }
+}
+
 /// A page to be written, and what it is conditioned on.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PageWrite {
@@ -84,8 +99,7 @@
             };
             let Ok(chunk) = chunk.parse() else { continue };
             let part: Part = (job.to_string(), chunk);
-            entry.bytes += size(&part, &ranges);
-            entry.parts.insert(part.clone(), ranges.clone());
+            entry.hold(&part, ranges.clone());
             if let Some(other) = self.place.insert(part.clone(), page) {
                 self.also.entry(part.clone()).or_default().insert(other);
             }
@@ -101,10 +115,8 @@
     }
 
     fn drop_from(&mut self, page: u32, part: &Part) {
-        if let Some(page) = self.pages.get_mut(&page)
-            && let Some(ranges) = page.parts.remove(part)
-        {
-            page.bytes -= size(part, &ranges);
+        if let Some(page) = self.pages.get_mut(&page) {
+            page.drop_part(part);
         }
     }
 
@@ -115,12 +127,16 @@
         }
     }
 
+    /// Drops a part from all pages that it may be on.
+    fn drop_everywhere(&mut self, part: &Part) {
+        self.drop_part(part);
+        self.drop_others(part);
+    }
+
     /// A job is over: its parts are left out of the next write of their pages.
     pub fn forget(&mut self, job: &str, chunks: u32) {
         for chunk in 0..chunks {
-            let part = (job.to_string(), chunk);
-            self.drop_part(&part);
-            self.drop_others(&part);
+            self.drop_everywhere(&(job.to_string(), chunk));
         }
     }
 
@@ -192,13 +208,10 @@
 
     fn put(&mut self, part: &Part, at: u32, ranges: RangeSet) {
         self.drop_part(part);
-        self.drop_from(at, part);
         if let Some(others) = self.also.get_mut(part) {
             others.remove(&at);
         }
-        let page = self.pages.entry(at).or_default();
-        page.bytes += size(part, &ranges);
-        page.parts.insert(part.clone(), ranges);
+        self.pages.entry(at).or_default().hold(part, ranges);
         self.place.insert(part.clone(), at);
     }
 
@@ -225,12 +238,11 @@
         page.version = if write.record.is_empty() { 0 } else { revision };
         if page.version == 0 && page.parts.is_empty() {
             self.pages.remove(&write.page);
-        } else if !self.also.is_empty() {
-            let settled = |p: &&Part| self.place.get(*p) == Some(&write.page);
-            let settled: Vec<Part> = page.parts.keys().filter(settled).cloned().collect();
-            for part in settled {
-                self.drop_others(&part);
-            }
+        }
+        let settled = |p: &&Part| self.place.get(*p) == Some(&write.page);
+        let settled: Vec<Part> = self.also.keys().filter(settled).cloned().collect();
+        for part in settled {
+            self.drop_others(&part);
         }
     }
 
@@ -243,10 +255,8 @@
                 continue;
             }
             if doubt {
-                self.drop_from(*from, part);
                 let page = self.pages.entry(*from).or_default();
-                page.bytes += size(part, held);
-                page.parts.insert(part.clone(), held.clone());
+                page.hold(part, held.clone());
                 self.also.entry(part.clone()).or_default().insert(*from);
             } else {
                 self.put(part, *from, held.clone());
@@ -270,8 +280,7 @@
     pub fn retain(&mut self, open: impl Fn(&str) -> bool) {
         let over: Vec<Part> = self.place.keys().filter(|p| !open(&p.0)).cloned().collect();
         for part in over {
-            self.drop_part(&part);
-            self.drop_others(&part);
+            self.drop_everywhere(&part);
         }
     }
 
--- a/crates/tallygauge-world/src/machines.rs
+++ b/crates/tallygauge-world/src/machines.rs
@@ -33,6 +33,11 @@
     pub(crate) hung: Option<f64>,
 }
 
+/// The job that a task belongs to.
+fn job_of(task: &str) -> &str {
+    task.split('/').next().unwrap_or_default()
+}
+
 impl World {
     /// Names of machines that are up.
     pub fn up(&self) -> Vec<String> {
@@ -49,7 +54,7 @@
     pub fn running(&self, id: &str) -> usize {
         let inner = self.inner.lock().unwrap();
         let tasks = inner.workers.values().flat_map(|w| &w.tasks);
-        let of_job = |t: &&SimTask| t.state != "ended" && t.name.split('/').next() == Some(id);
+        let of_job = |t: &&SimTask| t.state != "ended" && job_of(&t.name) == id;
         tasks.filter(of_job).count()
     }
 
@@ -57,9 +62,7 @@
     /// soon.
     pub fn unend(&self, id: &str) {
         let mut inner = self.inner.lock().unwrap();
-        inner
-            .ended
-            .retain(|task| task.split('/').next() != Some(id));
+        inner.ended.retain(|task| job_of(task) != id);
     }
 
     /// Answers a direct message in a worker's stead; one that is held back is
@@ -280,7 +283,7 @@
                         .values()
                         .flat_map(|w| &w.tasks)
                         .filter(|t| t.state != "ended")
-                        .map(|t| self.runs[t.name.split('/').next().unwrap()].1)
+                        .map(|t| self.runs[job_of(&t.name)].1)
                         .sum();
                     if used > self.team_cpus + 1e-6 {
                         self.broken
@@ -341,7 +344,7 @@
                 w.answered = now;
             }
             for t in w.tasks.iter_mut().filter(|t| t.state == "running") {
-                let job = t.name.split('/').next().unwrap();
+                let job = job_of(&t.name);
                 if now - t.since >= self.runs[job].0 {
                     (t.state, t.cause) = ("ended", Some("done"));
                     self.ended.insert(t.name.clone());
--- a/crates/tallygauge-world/src/state.rs
+++ b/crates/tallygauge-world/src/state.rs
@@ -94,7 +94,6 @@
         if inner.down {
             return;
         }
-        inner.store.expire(now);
         let mut due: Vec<_> = inner
             .store
             .unsettled
--- a/crates/tallygauge-world/tests/meetings.rs
+++ b/crates/tallygauge-world/tests/meetings.rs
@@ -11,9 +11,9 @@
 };
 use warp::http::Method;
 
-/// Cancels a job through a node, which must be told so.
-async fn cancel(world: &World, node: &Arc<Node>, id: &str) {
-    let told = until(5.0, async || {
+/// Cancels a job through a node, whose user must be told so within so many seconds.
+async fn cancel(world: &World, node: &Arc<Node>, id: &str, within_s: f64) {
+    let told = until(within_s, async || {
         status_of(&users::cancel(node, id).await) == Some(JobStatus::Cancelled)
     });
     assert!(told.await, "{id} can't be cancelled");
@@ -51,7 +51,7 @@
         let (world, [(a, _ta), (b, _tb)], id) = two_long_tasks().await;
         world.refuse("n-a", true);
         tokio::time::sleep(Duration::from_millis(alone_ms / 2)).await;
-        cancel(&world, &b, &id).await;
+        cancel(&world, &b, &id, 5.0).await;
         tokio::time::sleep(Duration::from_millis(alone_ms / 2)).await;
         long_outage(&world).await;
         world.refuse("n-a", false);
@@ -100,7 +100,7 @@
     for slow in [0.1, 0.2, 0.3, 0.4, 0.5] {
         let (world, [(_a, ta), (b, _tb)], id) = two_long_tasks().await;
         world.inner.lock().unwrap().hold_watches = true;
-        cancel(&world, &b, &id).await;
+        cancel(&world, &b, &id, 5.0).await;
         tokio::time::sleep(Duration::from_secs_f64(LEASE_S * slow)).await;
         // The last of the listings that a new leader begins with.
         world.inner.lock().unwrap().down_at = Some(StepAt {
@@ -121,12 +121,6 @@
     }
 }
 
-/// The machines on which tasks were started, the latest last.
-fn machines(world: &World) -> Vec<String> {
-    let inner = world.inner.lock().unwrap();
-    inner.starts.iter().map(|s| s.2.clone()).collect()
-}
-
 async fn done(node: &Arc<Node>, id: &str) -> bool {
     until(LEASE_S * 30.0, async || {
         ask(node, id).await == Some(JobStatus::Done)
@@ -171,7 +165,7 @@
             accepted(&a, &body).await;
             ids.push(id);
         }
-        cancel_late(&world, &b, &ids[4]).await;
+        cancel(&world, &b, &ids[4], 60.0).await;
         tokio::time::sleep(Duration::from_secs(seed)).await;
         ta.abort();
         world.forget_node("n-a");
@@ -213,15 +207,6 @@
     world.assert_rules();
 }
 
-/// Cancels a job while transactions may get no answer.
-async fn cancel_late(world: &World, node: &Arc<Node>, id: &str) {
-    let told = until(60.0, async || {
-        status_of(&users::cancel(node, id).await) == Some(JobStatus::Cancelled)
-    });
-    assert!(told.await, "{id} can't be cancelled");
-    world.told_cancelled(id);
-}
-
 // What the leader before placed there holds task, room and quota until it is surely
 // over, through two take-overs within a lease; and what ran on goes on once it is
 // heard again.
@@ -229,7 +214,7 @@
 async fn a_leader_ends_while_machines_with_long_tasks_are_cut_off_or_deaf() {
     for (deaf, back_s) in [(false, 3.0), (true, 3.0), (false, 40.0), (true, 40.0)] {
         let (world, [(_a, ta), (b, tb)], id) = two_long_tasks().await;
-        let machine = machines(&world).remove(0);
+        let machine = world.inner.lock().unwrap().starts[0].2.clone();
         let cut = |cut| {
             if deaf {
                 world.deafen(&machine, cut);
@@ -276,12 +261,12 @@
         match seed % 3 {
             0 => world.begin_again(&machine),
             1 => world.hang(&machine, true),
-            _ => cancel(&world, &a, &third).await,
+            _ => cancel(&world, &a, &third, 5.0).await,
         }
         tokio::time::sleep(Duration::from_secs(seed % 13)).await;
         world.hang(&machine, false);
         if seed % 3 != 2 {
-            cancel(&world, &a, &third).await;
+            cancel(&world, &a, &third, 5.0).await;
         }
         tokio::time::sleep(Duration::from_secs_f64(CANCEL_S)).await;
         world.inner.lock().unwrap().holding = (0.0, 0.0);
@@ -343,7 +328,7 @@
     let (world, [(a, _ta), (b, _tb)], id) = two_long_tasks().await;
     world.inner.lock().unwrap().cut.insert("n-a".into());
     assert!(until(LEASE_S, async || leads(&b)).await);
-    cancel(&world, &b, &id).await;
+    cancel(&world, &b, &id, 5.0).await;
     let asked = until(CANCEL_S + 5.0, async || {
         let reply = users::status(&a, &id).await;
         assert!(reply.status() == 503, "{reply:?}");
