--- a/crates/tallygauge-sched/examples/overload/day.rs
+++ b/crates/tallygauge-sched/examples/overload/day.rs
@@ -502,7 +502,7 @@
             self.c.direct_done(&message, true, false, now);
             self.c.on_report(now, &report, Source::Direct);
         }
-        for done in self.c.completions(10_000) {
+        for done in self.c.completions(10_000, &BTreeSet::new()) {
             self.c.remove_job(&done.job, now);
             if let Some(facts) = self.jobs.get_mut(&done.job) {
                 facts.done_at = Some(now);
--- a/crates/tallygauge-sched/examples/scale.rs
+++ b/crates/tallygauge-sched/examples/scale.rs
@@ -3,7 +3,7 @@
 //! `cargo run --release -p tallygauge-sched --example scale`
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Instant,
 };
 use tallygauge_sched::{Batch, Cluster, Config, FloorConfig, RangeSet, Source, Spread, TeamConfig};
@@ -195,7 +195,7 @@
         for done in std::mem::take(&mut c.garbage) {
             live.remove(&*done);
         }
-        for done in c.completions(1000) {
+        for done in c.completions(1000, &BTreeSet::new()) {
             c.remove_job(&done.job, now);
         }
         if let Some(flush) = c.flush(24, 49_152).filter(|_| step.is_multiple_of(16)) {
--- a/crates/tallygauge-sched/src/progress.rs
+++ b/crates/tallygauge-sched/src/progress.rs
@@ -5,6 +5,7 @@
     pages::{PageFlush, Part},
     ranges::RangeSet,
 };
+use std::collections::BTreeSet;
 
 /// A job whose tasks are all done.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -27,11 +28,12 @@
 }
 
 impl Cluster {
-    /// Jobs whose end is not durable.
+    /// Jobs whose end is not durable, but for those whose record is being
+    /// written.
     #[must_use]
-    pub fn completions(&self, most: usize) -> Vec<Completion> {
+    pub fn completions(&self, most: usize, sent: &BTreeSet<String>) -> Vec<Completion> {
         let jobs = self.dirty_jobs.iter().filter_map(|id| self.jobs.get(id));
-        jobs.filter(|j| j.complete())
+        jobs.filter(|j| j.complete() && !sent.contains(&j.spec.id))
             .take(most)
             .map(|j| Completion {
                 job: j.spec.id.clone(),
--- a/crates/tallygauge-sched/src/tests/begins.rs
+++ b/crates/tallygauge-sched/src/tests/begins.rs
@@ -1,6 +1,7 @@
 //! Every job begins within a bound.
 
 use super::*;
+use std::collections::BTreeSet;
 
 const BOUND: f64 = 240.0;
 
@@ -133,7 +134,11 @@
         if let Some(flush) = c.flush(9, 60_000) {
             c.flushed(&flush, 1);
         }
-        let over: Vec<String> = c.completions(99).into_iter().map(|d| d.job).collect();
+        let over: Vec<String> = c
+            .completions(99, &BTreeSet::new())
+            .into_iter()
+            .map(|d| d.job)
+            .collect();
         for id in over {
             c.remove_job(&id, now);
         }
--- a/crates/tallygauge-sched/src/tests/mod.rs
+++ b/crates/tallygauge-sched/src/tests/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::{mapping::Group, *};
 use proptest::prelude::*;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use tallygauge_wire::{
     cloud::{Machine, MachineState, MachineType},
     users::{JobSpec, Priority, Shape},
@@ -571,7 +571,7 @@
         &report("sa", 1, 5, TERM, vec![done.clone()]),
         Source::CheckIn,
     );
-    assert_eq!(c.completions(9).len(), 1);
+    assert_eq!(c.completions(9, &BTreeSet::new()).len(), 1);
     c.remove_job("req-1", 110.0);
     assert!(c.commands("sa", 110.0).is_empty(), "must not be cleared");
     // Absent from a report it would still hold its place, being uncertain.
--- a/crates/tallygauge-state/src/budget.rs
+++ b/crates/tallygauge-state/src/budget.rs
@@ -148,7 +148,8 @@
         self.state.lock().expect("budget lock").writes.tokens -= 1.0;
     }
 
-    fn attempt(&self, class: Class, writes: usize) -> bool {
+    /// Takes one request with so many writes if its turn is now.
+    pub fn attempt(&self, class: Class, writes: usize) -> bool {
         let mut state = self.state.lock().expect("budget lock");
         let now = Instant::now();
         let passed = now.duration_since(state.at).as_secs_f64();
--- a/crates/tallygauge-state/src/lib.rs
+++ b/crates/tallygauge-state/src/lib.rs
@@ -9,10 +9,13 @@
 mod causes;
 pub mod http;
 mod open;
+pub mod round_trip;
+mod settle;
 
 pub use budget::{Budget, Class};
 pub use causes::first_time;
 pub use open::{OneOpen, Open};
+pub use settle::Settled;
 
 use http::{Answer, Http, NoAnswer};
 use hyper::{Method, StatusCode};
@@ -64,6 +67,18 @@
     TooOld,
 }
 
+/// How the service has served this node.
+#[derive(Debug, Default)]
+struct Service {
+    /// When a request was last served.
+    served: Option<Instant>,
+    /// Since when none is.
+    failing: Option<Instant>,
+}
+
+/// Path of transactions; their answers tell the round-trip time.
+const TRANSACTION_PATH: &str = "/multi";
+
 /// Client of the state service. Cheap to clone.
 #[derive(Clone)]
 pub struct Client {
@@ -71,19 +86,29 @@
     base: Arc<str>,
     budget: Arc<Budget>,
     timeout: Duration,
-    failing: Arc<Mutex<Option<Instant>>>,
+    service: Arc<Mutex<Service>>,
+    retries: Arc<settle::Retries>,
 }
 
 impl Client {
-    /// A client of the service at `addr`; a request is given up after `timeout`.
+    /// A client of the service at `addr`; a request is given up after `timeout`,
+    /// and a copy of one that is sent again when needed after `floor` at the
+    /// soonest.
     #[must_use]
-    pub fn new(http: Http, addr: &str, budget: Arc<Budget>, timeout: Duration) -> Self {
+    pub fn new(
+        http: Http,
+        addr: &str,
+        budget: Arc<Budget>,
+        floor: Duration,
+        timeout: Duration,
+    ) -> Self {
         Self {
             http,
             base: format!("http://{addr}").into(),
             budget,
             timeout,
-            failing: Arc::default(),
+            service: Arc::default(),
+            retries: Arc::new(settle::Retries::new(floor, timeout)),
         }
     }
 
@@ -91,15 +116,25 @@
     /// over the budget does not count.
     #[must_use]
     pub fn failing_since(&self) -> Option<Instant> {
-        *self.failing.lock().expect("failing lock")
+        self.service.lock().expect("service lock").failing
     }
 
-    fn served(&self, served: bool) {
-        let mut failing = self.failing.lock().expect("failing lock");
-        match (served, *failing) {
-            (true, _) => *failing = None,
-            (false, None) => *failing = Some(Instant::now()),
-            (false, Some(_)) => {}
+    /// Takes up whether a request was served. One lost answer among others that
+    /// came says nothing of the service: only none for a whole time-out does.
+    fn note(&self, answer: &Answer) {
+        let mut service = self.service.lock().expect("service lock");
+        let now = Instant::now();
+        let fails = match answer {
+            Ok((StatusCode::SERVICE_UNAVAILABLE, _)) | Err(NoAnswer::NotSent) => true,
+            Err(NoAnswer::Lost) => service.served.is_none_or(|at| now - at >= self.timeout),
+            Ok(_) => {
+                service.served = Some(now);
+                service.failing = None;
+                false
+            }
+        };
+        if fails {
+            service.failing.get_or_insert(now);
         }
     }
 
@@ -121,10 +156,25 @@
         if !self.budget.take(class, writes).await {
             return Err(Error::Refused);
         }
+        self.exchange(method, path, body, timeout).await
+    }
+
+    /// Sends one request that the budget has been charged for.
+    async fn exchange<B: Serialize>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&B>,
+        timeout: Duration,
+    ) -> Result<(StatusCode, bytes::Bytes), Error> {
         let url = format!("{}{path}", self.base);
+        let sent = Instant::now();
         let answer = self.http.call(method, &url, body, timeout).await;
-        let refused = |a: &Answer| matches!(a, Ok((StatusCode::SERVICE_UNAVAILABLE, _)) | Err(_));
-        self.served(!refused(&answer));
+        if answer.is_ok() && path == TRANSACTION_PATH {
+            let mut round_trip = self.retries.round_trip.lock().expect("round-trip lock");
+            round_trip.observe(sent.elapsed());
+        }
+        self.note(&answer);
         match answer {
             Ok((StatusCode::TOO_MANY_REQUESTS, _)) => {
                 self.budget.refused();
@@ -187,16 +237,19 @@
     /// # Errors
     /// `Refused`: surely not made. `Unknown`: may have been made, or may yet be.
     pub async fn transact(&self, class: Class, txn: &Transaction) -> Result<Outcome, Error> {
-        let (status, body) = self
-            .call(
-                class,
-                txn.writes.len(),
-                Method::POST,
-                "/multi",
-                Some(txn),
-                self.timeout,
-            )
-            .await?;
+        if !self.budget.take(class, txn.writes.len()).await {
+            return Err(Error::Refused);
+        }
+        self.send(txn).await
+    }
+
+    /// Sends a transaction that the budget has been charged for.
+    async fn send(&self, txn: &Transaction) -> Result<Outcome, Error> {
+        let post = Method::POST;
+        let sent = self
+            .exchange(post, TRANSACTION_PATH, Some(txn), self.timeout)
+            .await;
+        let (status, body) = sent?;
         match status {
             StatusCode::OK => parse::<Revision>(&body).map(|r| Outcome::Made(r.revision)),
             StatusCode::CONFLICT => {
--- a/crates/tallygauge/src/kept.rs
+++ b/crates/tallygauge/src/kept.rs
@@ -70,7 +70,7 @@
 
 /// Keeps records at the state service, as long as this node leads. What isn't
 /// written for want of budget is written later.
-pub async fn run(node: &Arc<Node>, term_guard: Guard, kept: Kept) {
+pub async fn run(node: &Arc<Node>, term_guard: &Guard, kept: Kept) {
     let report = node.settings.deployment.workers.report_s;
     let pause = Duration::from_secs_f64(report * LOOK_EVERY);
     let bytes = record_bytes(node);
@@ -84,7 +84,7 @@
     declare(node, &mut shelf, &kept);
     // What is ahead is written before anything else, and in force when it is.
     while let Some(parcel) = shelf.parcel(2, bytes, true) {
-        write(node, &term_guard, &mut shelf, &mut versions, &parcel).await;
+        write(node, term_guard, &mut shelf, &mut versions, &parcel).await;
         if parcel.items.iter().any(|i| !shelf.is_durable(&i.name)) {
             tokio::time::sleep(node.term_ttl() / 8).await;
         }
@@ -101,7 +101,7 @@
         collect(node, &mut shelf, bytes);
         let most = node.settings.deployment.state.txn_ops / 2;
         if let Some(parcel) = shelf.parcel(most, bytes, false) {
-            write(node, &term_guard, &mut shelf, &mut versions, &parcel).await;
+            write(node, term_guard, &mut shelf, &mut versions, &parcel).await;
         }
         let now = node.now();
         if now - shown > report * LOOK_EVERY * 8.0 {
--- a/crates/tallygauge/src/leader.rs
+++ b/crates/tallygauge/src/leader.rs
@@ -1,9 +1,9 @@
 //! Leadership: winning a term, keeping it, and loading the picture.
 
 use crate::{
-    cloud, control, follow, kept,
+    cleanup, cloud, control, follow, kept,
     node::{LEADER_KEY, Lead, Node, TERM_KEY},
-    sweep,
+    progress, summary, sweep,
     users::{self, OpenRecord},
     workers,
 };
@@ -151,11 +151,13 @@
             },
         ],
     };
-    let version = match node.state.transact(Class::Leadership, &txn).await {
+    let patience = Some(node.term_ttl() / 2);
+    let settled = node.state.settle(Class::Leadership, &txn, patience).await;
+    let version = match settled.outcome {
         Ok(Outcome::Made(version)) => version,
-        Ok(_) | Err(Error::Refused) => return None,
-        Err(Error::Unknown) => {
-            // It may have been made: then it says so.
+        _ if !settled.in_doubt => return None,
+        _ => {
+            // An earlier copy may have been executed: then the term says so.
             let now = read_terms(node).await.ok()?;
             if now.leader.as_ref() != Some(&leader) || now.term != term {
                 return None;
@@ -262,9 +264,12 @@
     node.wake.notify_one();
     tokio::join!(
         watch_jobs(node, revision),
-        control::run(node, guard.clone()),
-        control::finish(node, guard.clone()),
-        kept::run(node, guard, kept),
+        control::run(node, &guard),
+        progress::complete_jobs(node, &guard),
+        progress::flush_pages(node, &guard),
+        cleanup::run(node, &guard),
+        summary::run(node),
+        kept::run(node, &guard, kept),
         sweep::run(node),
         cloud::run(node, term),
     );
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! `docs/design.md` says how it works and why it is safe.
 
+pub mod cleanup;
 pub mod cloud;
 pub mod control;
 pub mod floor;
@@ -11,10 +12,13 @@
 pub mod leader;
 pub mod node;
 pub mod peers;
+pub mod placement;
+pub mod progress;
 pub mod relay;
 pub mod server;
 pub mod settings;
 pub mod sockets;
+pub mod summary;
 pub mod sweep;
 pub mod trade;
 pub mod tuning;
--- a/crates/tallygauge/src/node.rs
+++ b/crates/tallygauge/src/node.rs
@@ -30,6 +30,10 @@
 /// Part of the report interval between two measurements of the lag.
 const LAG_STEP: f64 = 0.04;
 
+/// Part of a worker's lease after which a request to the state service may be
+/// sent once more, however fast others were answered.
+const LEAST_TIMEOUT: f64 = 0.005;
+
 /// Key of an open job.
 #[must_use]
 pub fn open_key(id: &str) -> String {
@@ -173,8 +177,17 @@
     pub asked: f64,
     /// Keys and versions.
     pub guards: Vec<Guard>,
-    /// Where the answer goes: for each, whether it has; `None`: can't know.
-    pub reply: oneshot::Sender<Option<Vec<bool>>>,
+    /// Where the answer goes; `None`: can't know.
+    pub reply: oneshot::Sender<Option<Verdict>>,
+}
+
+/// What the state service said of a question.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Verdict {
+    /// For each key, whether it has the version.
+    pub holds: Vec<bool>,
+    /// When the state service was asked for it: it is no older than that.
+    pub as_of: f64,
 }
 
 /// Jobs whose users have had no answer, for how long, and since when nobody asked
@@ -286,6 +299,8 @@
     pub unknown: Mutex<usize>,
     /// All open jobs should be read.
     pub wake_prime: Notify,
+    /// The longest round since the last summary, seconds.
+    pub longest_round: Mutex<f64>,
     /// Deals out chance, so that nodes don't act in step.
     pub chance: Mutex<StdRng>,
     /// When another node last answered while the state service did not serve
@@ -310,7 +325,9 @@
             .clamp(Duration::from_millis(500), Duration::from_secs(2));
         let share = 1.0 / f64::from(settings.deployment.count.max(1));
         let budget = Arc::new(Budget::new(limits.rps * share, limits.write_rps * share));
-        let state = Client::new(state, &settings.services.state.to_string(), budget, timeout);
+        let floor = Duration::from_secs_f64(settings.deployment.workers.lease_s * LEAST_TIMEOUT);
+        let addr = settings.services.state.to_string();
+        let state = Client::new(state, &addr, budget, floor.min(timeout), timeout);
         // A job known takes about a kilobyte at most; a tenth of the memory.
         let most = (settings.deployment.quota.memory_mb * 100.0) as usize;
         let (queries, questions) = mpsc::channel(settings.deployment.quota.sockets as usize);
@@ -343,6 +360,7 @@
             unanswered: Mutex::default(),
             unknown: Mutex::new(0),
             wake_prime: Notify::new(),
+            longest_round: Mutex::new(0.0),
             chance: Mutex::new(StdRng::seed_from_u64(rand::random())),
             peer_answered: Mutex::new(f64::NEG_INFINITY),
         };
@@ -356,6 +374,12 @@
         self.began.elapsed().as_secs_f64() + 1.0
     }
 
+    /// What [`Node::now`] was at an instant.
+    #[must_use]
+    pub fn at(&self, instant: Instant) -> f64 {
+        instant.saturating_duration_since(self.began).as_secs_f64() + 1.0
+    }
+
     /// Seconds of the time of day: for display and deadlines, never for
     /// safety.
     #[must_use]
--- /dev/null
+++ b/crates/tallygauge/src/summary.rs
@@ -0,0 +1,94 @@
+//! What a leader logs now and then: how much there is of everything.
+
+use crate::{floor, node::Node};
+use std::time::Duration;
+use tallygauge_sched::Cluster;
+
+/// Report intervals between two summaries.
+const EVERY: f64 = 4.0;
+
+/// Logs a summary now and then, as long as this node leads, whatever else waits.
+pub async fn run(node: &Node) {
+    let report = node.settings.deployment.workers.report_s;
+    let pause = Duration::from_secs_f64(report * EVERY);
+    loop {
+        tokio::time::sleep(pause).await;
+        let longest_round_s = std::mem::take(&mut *node.lock(&node.longest_round));
+        summarize(node, longest_round_s);
+    }
+}
+
+fn summarize(node: &Node, longest_round_s: f64) {
+    let backlog = node.state.budget().waiting();
+    let lag = *node.lock(&node.lag);
+    let (now, memory_s) = (node.now(), node.poll_memory_s());
+    let unanswered_s = {
+        let unanswered = node.lock(&node.unanswered);
+        unanswered.longest(now, memory_s).map_or(0.0, |l| l.1)
+    };
+    let (writes_in_doubt, in_doubt) = node.state.in_doubt();
+    let (sockets, sockets_free) = (node.sockets.used(), node.sockets.free());
+    node.with_cluster(|c| {
+        let held = |w: &tallygauge_sched::Worker| w.held.iter().filter(|h| h.occupies()).count();
+        let running: usize = c.workers.values().map(held).sum();
+        let waiting: usize = c
+            .jobs
+            .values()
+            .map(|j| j.waiting.len() as usize + j.resumes.len())
+            .sum();
+        let up = c.workers.values().filter(|w| w.up()).count();
+        let [starting, fetching, busy, free] = c.use_of_cpus();
+        let (to_begin, not_begun_s) = c.to_begin(now);
+        tracing::info!(
+            jobs = c.jobs.len(),
+            running,
+            waiting,
+            machines = c.workers.len(),
+            up,
+            cpus_starting = starting,
+            cpus_fetching = fetching,
+            cpus_running = busy,
+            cpus_free = free,
+            to_begin,
+            not_begun_s = not_begun_s as u64,
+            round_ms = (longest_round_s * 1000.0) as u64,
+            lag_ms = (lag * 1000.0) as u64,
+            writes_waiting = backlog,
+            writes_in_doubt,
+            in_doubt_ms = in_doubt.as_millis() as u64,
+            unanswered_s = unanswered_s as u64,
+            sockets,
+            sockets_free,
+            "summary"
+        );
+        let cutoffs = shown_cutoffs(c, now);
+        if !cutoffs.is_empty() {
+            tracing::info!(cutoffs, "calendar");
+        }
+        let (classes, teams) = floor::shown(c);
+        tracing::info!(classes, teams, "served");
+    });
+}
+
+/// Cutoffs that operators declared or that are at risk in one field: seconds
+/// until each, jobs done, of these too late, open; slack in seconds, `!` when at
+/// risk.
+fn shown_cutoffs(c: &Cluster, now: f64) -> String {
+    let mut out = Vec::new();
+    for cutoff in c.cutoffs(now) {
+        let risk = cutoff.verdict.is_some_and(|v| v.at_risk);
+        if !cutoff.declared && !risk {
+            continue;
+        }
+        let (left_s, (done, late), open) = (cutoff.left_s, cutoff.done, cutoff.open);
+        let slack = cutoff
+            .verdict
+            .map_or(String::new(), |v| format!("/{:.0}", v.slack_s));
+        let mark = if risk { "!" } else { "" };
+        out.push(format!(
+            "{}:{left_s:.0}/{done}/{late}/{open}{slack}{mark}",
+            cutoff.name
+        ));
+    }
+    out.join(" ")
+}
--- a/crates/tallygauge/src/users.rs
+++ b/crates/tallygauge/src/users.rs
@@ -2,12 +2,12 @@
 
 pub use crate::relay::{Passing, Relay};
 
-use crate::node::{Known, Node, Query, open_key, over_key};
+use crate::node::{Known, Node, Query, Verdict, open_key, over_key};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::{sync::Arc, time::Duration};
 use tallygauge_sched::check_feasible;
-use tallygauge_state::{Class, Error, Outcome};
+use tallygauge_state::{Class, Outcome};
 use tallygauge_wire::{
     state::{Guard, Transaction, Write},
     users::{ErrorBody, JobAnswer, JobSpec, JobStatus, POLL_WAIT_S, Shape, valid_job_id},
@@ -62,6 +62,14 @@
 /// the job may be over and its user told so elsewhere.
 const FRESH_S: f64 = POLL_WAIT_S / 2.0;
 
+/// How long a comparison is sent again before those who ask are told to come back,
+/// while they still wait: seconds.
+const COMPARE_PATIENCE_S: f64 = POLL_WAIT_S * 0.6;
+
+/// How long a submission or cancellation is sent again before its user is told
+/// to come back.
+const PATIENCE: Duration = Duration::from_millis((POLL_WAIT_S * 1500.0) as u64);
+
 impl Reply {
     /// Status code.
     #[must_use]
@@ -242,8 +250,31 @@
             guards.push(guard.clone());
         }
     }
-    let mut failed: Vec<String> = Vec::new();
-    let mut known = true;
+    let verdict = broken_guards(node, class, guards).await;
+    for query in batch {
+        let verdict = verdict.as_ref().map(|(broken, as_of)| Verdict {
+            holds: query
+                .guards
+                .iter()
+                .map(|g| !broken.contains(&g.key))
+                .collect(),
+            as_of: *as_of,
+        });
+        let _ = query.reply.send(verdict);
+    }
+}
+
+/// Which of these guards don't hold, and since when that is known; `None` if it
+/// can't be known in the time that users wait. A comparison writes nothing, so
+/// one whose answer is lost is asked again at will.
+async fn broken_guards(
+    node: &Node,
+    class: Class,
+    mut guards: Vec<Guard>,
+) -> Option<(Vec<String>, f64)> {
+    let mut broken: Vec<String> = Vec::new();
+    let mut as_of = f64::INFINITY;
+    let until = node.now() + COMPARE_PATIENCE_S;
     // A conflict names keys that failed, perhaps not all: the rest is asked
     // again until it holds.
     while !guards.is_empty() {
@@ -251,31 +282,22 @@
             guards: guards.clone(),
             writes: Vec::new(),
         };
-        match node.state.transact(class, &txn).await {
+        let patience = Duration::from_secs_f64((until - node.now()).max(0.0));
+        let settled = node.state.settle(class, &txn, Some(patience)).await;
+        as_of = as_of.min(node.at(settled.sent));
+        match settled.outcome {
             Ok(Outcome::Made(_)) => break,
             Ok(Outcome::Conflict(keys)) if !keys.is_empty() => {
                 guards.retain(|g| !keys.contains(&g.key));
-                failed.extend(keys);
-            }
-            _ => {
-                known = false;
-                break;
+                broken.extend(keys);
             }
+            _ => return None,
         }
     }
-    for query in batch {
-        let verdict = known.then(|| {
-            query
-                .guards
-                .iter()
-                .map(|g| !failed.contains(&g.key))
-                .collect()
-        });
-        let _ = query.reply.send(verdict);
-    }
+    Some((broken, as_of))
 }
 
-async fn ask(node: &Node, (class, since): (Class, f64), guards: Vec<Guard>) -> Option<Vec<bool>> {
+async fn ask(node: &Node, (class, since): (Class, f64), guards: Vec<Guard>) -> Option<Verdict> {
     let (reply, answer) = oneshot::channel();
     let query = Query {
         class,
@@ -294,14 +316,15 @@
     let guard = |key: String, version| Guard { key, version };
     // Once for each turn that a job's state may take, and once more.
     for _ in 0..4 {
-        let asked = node.now();
-        let fresh = || node.now() - asked <= FRESH_S;
+        let fresh = |as_of: f64| node.now() - as_of <= FRESH_S;
         let known = node.lock(&node.jobs).get(id);
         match known {
             Some(Known::Over(status, done)) => return Some(Found::Over(status, done)),
             Some(Known::Open(version)) => {
-                if ask(node, (class, since), vec![guard(open_key(id), version)]).await?[0] {
-                    if fresh() {
+                let guards = vec![guard(open_key(id), version)];
+                let verdict = ask(node, (class, since), guards).await?;
+                if verdict.holds[0] {
+                    if fresh(verdict.as_of) {
                         return Some(Found::Open);
                     }
                     continue;
@@ -312,23 +335,19 @@
                 if known.is_none() {
                     node.note_unknown();
                 }
-                let verdict = ask(
-                    node,
-                    (class, since),
-                    vec![guard(open_key(id), 0), guard(over_key(id), 0)],
-                )
-                .await?;
-                if verdict[0] && verdict[1] {
-                    if fresh() {
+                let guards = vec![guard(open_key(id), 0), guard(over_key(id), 0)];
+                let verdict = ask(node, (class, since), guards).await?;
+                let [open, over] = [!verdict.holds[0], !verdict.holds[1]];
+                if !open && !over {
+                    if fresh(verdict.as_of) {
                         return Some(Found::Unknown);
                     }
                     continue;
                 }
-                if !verdict[0]
-                    && let Some(row) = node.state.get(class, &open_key(id)).await.ok()?
-                {
+                let asked = node.now();
+                if open && let Some(row) = node.state.get(class, &open_key(id)).await.ok()? {
                     node.lock(&node.jobs).put(id, Known::Open(row.version));
-                    if fresh() {
+                    if fresh(asked) {
                         return Some(Found::Open);
                     }
                     continue;
@@ -494,22 +513,21 @@
             lease: None,
         }],
     };
-    // The conditions make it safe to try again when no answer came.
-    for _ in 0..2 {
-        match node.state.transact(Class::Users, &txn).await {
-            Ok(Outcome::Made(version)) => {
-                node.lock(&node.jobs).put(id, Known::Open(version));
-                return Reply::Job(201, answer(id, JobStatus::Pending));
-            }
-            Ok(Outcome::Conflict(_)) => {
-                return match repeat(node, id).await {
-                    Ok(Some(reply)) | Err(reply) => reply,
-                    Ok(None) => later(),
-                };
-            }
-            Ok(Outcome::NoLease) | Err(Error::Refused) => break,
-            Err(Error::Unknown) => {}
+    // The guards make it safe to send it again when no answer came: the record
+    // of a job is made once, and never again after the job is over.
+    let settled = node.state.settle(Class::Users, &txn, Some(PATIENCE)).await;
+    match settled.outcome {
+        Ok(Outcome::Made(version)) => {
+            node.lock(&node.jobs).put(id, Known::Open(version));
+            return Reply::Job(201, answer(id, JobStatus::Pending));
         }
+        Ok(Outcome::Conflict(_)) => {
+            return match repeat(node, id).await {
+                Ok(Some(reply)) | Err(reply) => reply,
+                Ok(None) => later(),
+            };
+        }
+        Ok(Outcome::NoLease) | Err(_) => {}
     }
     Reply::Later("the job can't be kept now".into(), 1)
 }
@@ -563,7 +581,8 @@
                 },
             ],
         };
-        match node.state.transact(Class::Users, &txn).await {
+        let settled = node.state.settle(Class::Users, &txn, Some(PATIENCE)).await;
+        match settled.outcome {
             Ok(Outcome::Made(_)) => {
                 node.lock(&node.jobs)
                     .put(id, Known::Over(JobStatus::Cancelled, over.done));
@@ -572,8 +591,9 @@
                 node.wake.notify_one();
                 return Reply::Job(200, answer(id, JobStatus::Cancelled));
             }
-            Ok(_) | Err(Error::Unknown) => {}
-            Err(Error::Refused) => return later(),
+            // An earlier copy may have been executed: looked up again.
+            Ok(_) => {}
+            Err(_) => return later(),
         }
     }
     later()
