--- a/crates/tallygauge-sched/src/begins.rs
+++ b/crates/tallygauge-sched/src/begins.rs
@@ -233,6 +233,15 @@
         cpus * MOST_PART - used.sum::<f64>()
     }
 
+    /// The open job that has waited longest of those that have not begun, and
+    /// whether it is a large one of its class.
+    #[must_use]
+    pub fn longest_not_begun(&self) -> Option<(&Job, bool)> {
+        let waiting = self.jobs.values().filter(|j| !j.started);
+        let oldest = waiting.min_by(|a, b| a.accepted_at.total_cmp(&b.accepted_at))?;
+        Some((oldest, self.is_large(oldest)))
+    }
+
     /// Jobs that have not begun: how many come first to begin, and for how long
     /// the one that waits longest has waited.
     #[must_use]
--- a/crates/tallygauge/src/summary.rs
+++ b/crates/tallygauge/src/summary.rs
@@ -61,6 +61,7 @@
             sockets_free,
             "summary"
         );
+        explain_longest_wait(c, now);
         let cutoffs = shown_cutoffs(c, now);
         if !cutoffs.is_empty() {
             tracing::info!(cutoffs, "calendar");
@@ -70,6 +71,29 @@
     });
 }
 
+/// Logs why the job that has waited longest has not begun: what is missing.
+fn explain_longest_wait(cluster: &Cluster, now: f64) {
+    let Some((job, large)) = cluster.longest_not_begun() else {
+        return;
+    };
+    let waited_s = (now - job.accepted_at) as u64;
+    let Some(why) = cluster.why(&job.spec.id, now) else {
+        return;
+    };
+    tracing::info!(
+        job = job.spec.id,
+        class = job.spec.class,
+        team = job.spec.team,
+        tasks = job.spec.tasks,
+        cpus = job.spec.cpus,
+        large,
+        waited_s,
+        within_guarantee = why.within_guarantee,
+        reasons = ?why.reasons,
+        "waits longest"
+    );
+}
+
 /// Cutoffs that operators declared or that are at risk in one field: seconds
 /// until each, jobs done, of these too late, open; slack in seconds, `!` when at
 /// risk.
