Jobs that are not large begin while the floor binds; stand-ins with teams, zones, lost answers

Ruled out: one machine that is never used (each time another), a team's limit, a write in doubt.

Now each begins with one task near the bound, on a twentieth of the machines at most.

The stand-ins learn answers lost at once, writes that hang, several teams and zones, slow links, boots, muted machines and copies kept for the next leader; a history checks that no answer is older than one given before.

--- a/crates/tallygauge-sched/src/begins.rs
+++ b/crates/tallygauge-sched/src/begins.rs
@@ -37,6 +37,11 @@
 /// one task each.
 const MOST_PART: f64 = 0.1;
 
+/// Part of the machines that jobs which are not large may take for their first
+/// tasks, while the floor binds: a task of each of many would keep all from being
+/// done.
+const MOST_OTHERS: f64 = 0.05;
+
 /// Jobs that machines are set aside for at a time, at most: looking for them
 /// takes a while.
 const MOST_CALLED: usize = 32;
@@ -58,7 +63,7 @@
         let near = |j: &&Job| {
             let age = now - j.accepted_at;
             let near = !j.fresh.is_empty() && age > bound * EARLY;
-            near && (is_large(j) || (calm && age > bound * OTHERS && j.finished.is_empty()))
+            near && (is_large(j) || (age > bound * OTHERS && j.finished.is_empty()))
         };
         let mut due: Vec<(f64, String)> = self
             .jobs
@@ -67,6 +72,12 @@
             .map(|j| (j.accepted_at, j.spec.id.clone()))
             .collect();
         due.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        // While the floor binds, what others may take is bounded.
+        let mut others_left = if calm {
+            f64::INFINITY
+        } else {
+            self.usable_cpus(now) * MOST_OTHERS
+        };
         let mut jobs = BTreeMap::new();
         for (accepted_at, id) in due {
             let (begun, there) = self.begun(&id, now);
@@ -81,6 +92,12 @@
             if job.fresh.is_empty() || (has_begun && !large) {
                 continue;
             }
+            if !large {
+                others_left -= job.spec.cpus;
+                if others_left < 0.0 {
+                    continue;
+                }
+            }
             let order = u32::try_from(jobs.len()).unwrap_or(u32::MAX);
             let turn = Turn {
                 order,
@@ -95,6 +112,13 @@
         self.begins.jobs = jobs;
     }
 
+    /// CPUs of the machines that may be used.
+    fn usable_cpus(&self, now: f64) -> f64 {
+        let usable = self.workers.values().filter(|w| w.usable(now, &self.cfg));
+        let types = usable.filter_map(|w| self.types.get(&w.machine_type));
+        types.map(|t| t.cpus).sum()
+    }
+
     /// Whether a job is one of the large ones of its class.
     pub(crate) fn is_large(&self, job: &Job) -> bool {
         let book = &self.floor.book;
--- a/crates/tallygauge-sched/src/tests/begins.rs
+++ b/crates/tallygauge-sched/src/tests/begins.rs
@@ -239,3 +239,37 @@
     c.call_to_begin(246.0);
     assert!(c.begins.jobs.values().all(|t| t.large));
 }
+
+// On a drawn day with more work than machines, jobs that were not large had no task
+// for 300 to 700 s while the floor bound, though machines with room stood beside
+// them. Each begins with one task now, on a small part of the machines.
+#[test]
+fn others_begin_on_a_part_of_the_machines_while_the_floor_binds() {
+    let names: Vec<String> = (0..10).map(|n| format!("s{n}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut c = cluster(&names, 100.0);
+    for (n, name) in names.iter().enumerate() {
+        c.on_report(
+            245.0,
+            &report(name, 1, 2 + n as u64, TERM, vec![]),
+            Source::CheckIn,
+        );
+    }
+    for n in 1..30 {
+        c.add_job(spec(n, 1, 1.0), 1, 30.0, &RangeSet::default());
+    }
+    let seat = crate::parts::Seat {
+        place: 0,
+        least: true,
+        order: 0,
+    };
+    c.floor.seats.insert("req-1".into(), seat);
+    c.call_to_begin(245.0);
+    let others = c.begins.jobs.values().filter(|t| t.wants && !t.large);
+    let cpus: f64 = names
+        .iter()
+        .map(|n| c.types[&c.workers[*n].machine_type].cpus)
+        .sum();
+    assert_eq!(others.count(), (cpus * 0.05) as usize);
+    assert!(cpus * 0.05 >= 1.0, "{cpus}");
+}
--- a/crates/tallygauge-world/src/cloud.rs
+++ b/crates/tallygauge-world/src/cloud.rs
@@ -12,15 +12,15 @@
         if path == "/catalog" {
             return ok(
                 json!({"builds": [{"name": "c8", "cores": 8, "gpus": 0, "memGb": 32,
-                "cacheGb": 20, "pullGbPerS": 10.0, "rate": 1.0, "lowPrice": 0.4, "readyS": 2.0, "sites": ["a"]}]}),
+                "cacheGb": 20, "pullGbPerS": 10.0, "rate": 1.0, "lowPrice": 0.4, "readyS": 2.0, "sites": inner.zones}]}),
             );
         }
         if method == Method::GET {
             let list: Vec<Value> = inner
                 .machines
                 .iter()
-                .map(|(name, at)| {
-                    json!({"nameId": name, "endpoint": inner.endpoint(name), "build": "c8", "site": "a", "borrowed": false,
+                .map(|(name, (at, zone))| {
+                    json!({"nameId": name, "endpoint": inner.endpoint(name), "build": "c8", "site": zone, "borrowed": false,
                         "status": if inner.workers.contains_key(name) {"running"} else {"booting"}, "ageS": now - at})
                 })
                 .collect();
@@ -49,7 +49,8 @@
             for _ in 0..request["howMany"].as_u64().unwrap() {
                 let name = format!("host-{:06}", inner.next_machine);
                 inner.next_machine += 1;
-                inner.machines.insert(name.clone(), now);
+                let zone = request["site"].as_str().unwrap().to_string();
+                inner.machines.insert(name.clone(), (now, zone));
                 names.push(name);
             }
             inner.bookings.insert(booking.clone(), names);
--- a/crates/tallygauge-world/src/lib.rs
+++ b/crates/tallygauge-world/src/lib.rs
@@ -11,13 +11,15 @@
 #![allow(missing_docs)]
 
 mod cloud;
+mod history;
 mod machines;
 mod state;
 mod troubles;
 mod users;
 
+pub use history::History;
 pub use troubles::StepAt;
-pub use users::{To, accepted, ask, leads, led, started, status_of, until};
+pub use users::{JobShape, To, accepted, ask, leads, led, started, status_of, until};
 
 use machines::SimWorker;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -67,10 +69,11 @@
 
 pub struct Inner {
     store: Store,
-    machines: BTreeMap<String, f64>,
+    /// Machines that were rented: when, and in which zone.
+    machines: BTreeMap<String, (f64, String)>,
     workers: BTreeMap<String, SimWorker>,
-    /// Run time of each job's tasks, and CPUs.
-    runs: HashMap<String, (f64, f64)>,
+    /// What was submitted.
+    runs: HashMap<String, JobShape>,
     bookings: HashMap<String, Vec<String>>,
     /// What was asked for under each name.
     booked: HashMap<String, String>,
@@ -84,6 +87,17 @@
     /// Part of the transactions that get no answer and are carried out 2 to 12
     /// seconds later.
     pub late_writes: f64,
+    /// Part of the transactions that are carried out at once and get no answer.
+    pub lost_answers: f64,
+    /// Transactions that write a key which begins with this get no answer and are
+    /// never carried out.
+    pub hang_writes: Option<&'static str>,
+    /// Seconds that a message takes each way.
+    pub link_s: f64,
+    /// Seconds that a machine takes to boot.
+    pub boot_s: f64,
+    /// Zones with machines.
+    pub zones: Vec<&'static str>,
     /// The next transaction that writes a key which begins with this gets no answer
     /// and is carried out so many seconds later.
     pub late_once: Option<(&'static str, f64)>,
@@ -118,10 +132,13 @@
     pub broken: Vec<String>,
     /// Direct commands that were turned away.
     pub bounced: u32,
-    /// What the team's tasks may use.
+    /// What a team's tasks may use.
     pub team_cpus: f64,
     /// Reports that come again, late: when, which.
     copies: Vec<(f64, Vec<u8>)>,
+    /// Reports of which a copy is kept for [`World::bring_kept`].
+    pub keep_reports: bool,
+    kept_reports: Vec<Vec<u8>>,
     /// Part of the reports that come again, and after how many seconds at most.
     pub copying: (f64, f64),
     /// Deals out chance.
@@ -152,7 +169,8 @@
     ) -> Pin<Box<dyn Future<Output = Answer> + Send>> {
         let (world, node) = (self.world.clone(), self.node.clone());
         Box::pin(async move {
-            tokio::time::sleep(Duration::from_millis(3)).await;
+            let link_s = world.inner.lock().unwrap().link_s;
+            tokio::time::sleep(Duration::from_secs_f64(link_s)).await;
             let rest = url.strip_prefix("http://").unwrap_or_default();
             let (host, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
             let request = format!("{method} {path}");
@@ -198,6 +216,11 @@
                 refused: BTreeSet::new(),
                 down: false,
                 late_writes: 0.0,
+                lost_answers: 0.0,
+                hang_writes: None,
+                link_s: 0.003,
+                boot_s: 2.0,
+                zones: vec!["a"],
                 late_once: None,
                 holding: (0.0, 0.0),
                 held_back: Vec::new(),
@@ -217,6 +240,8 @@
                 team_cpus: TEAM_CPUS,
                 endpoints: HashMap::new(),
                 copies: Vec::new(),
+                keep_reports: false,
+                kept_reports: Vec::new(),
                 copying: (0.0, 0.0),
                 chance: StdRng::seed_from_u64(1),
             }),
@@ -243,8 +268,9 @@
             "client_listen": "127.0.0.1:7080", "back": "127.0.0.1:7081", "seeds": [],
             "services": {"cloud": "127.0.0.1:7001", "state": "127.0.0.1:7002"},
             "deployment": {
-                "count": 2, "zones": ["a"],
-                "teams": [{"name": "t", "cpus": 8.0, "cpus_max": TEAM_CPUS}],
+                "count": 2, "zones": ["a", "b"],
+                "teams": [{"name": "t", "cpus": 8.0, "cpus_max": TEAM_CPUS},
+                    {"name": "u", "cpus": 8.0, "cpus_max": TEAM_CPUS}],
                 "workers": {"report_s": REPORT_S, "lease_s": LEASE_S, "cancel_s": CANCEL_S},
                 "state": {"rps": 400.0, "write_rps": 200.0, "value_kb": 8.0, "txn_ops": 16},
                 "cloud": {"rps": 8.0, "list_lag_s": 1.0},
--- a/crates/tallygauge-world/src/machines.rs
+++ b/crates/tallygauge-world/src/machines.rs
@@ -28,6 +28,9 @@
     pub(crate) silent: bool,
     /// Its reports arrive; answers and commands don't reach it.
     pub(crate) deaf: bool,
+    /// Its reports don't arrive; direct commands reach it.
+    pub(crate) mute: bool,
+    pub(crate) zone: String,
     pub(crate) at_node: usize,
     /// Since when it does nothing at all: what reaches it waits.
     pub(crate) hung: Option<f64>,
@@ -127,7 +130,10 @@
                     .workers
                     .iter()
                     .filter(|(n, w)| {
-                        !w.silent && w.hung.is_none() && due.get(*n).is_none_or(|t| *t <= now)
+                        !w.silent
+                            && !w.mute
+                            && w.hung.is_none()
+                            && due.get(*n).is_none_or(|t| *t <= now)
                     })
                     .map(|(n, _)| n.clone())
                     .collect();
@@ -213,7 +219,7 @@
                 |t| json!({"piece": t.name, "try": t.attempt, "status": t.state, "cause": t.cause}),
             )
             .collect();
-        json!({"bench": name, "endpoint": self.endpoint(name), "build": "c8", "site": "a", "borrowed": false,
+        json!({"bench": name, "endpoint": self.endpoint(name), "build": "c8", "site": w.zone, "borrowed": false,
             "shift": w.session, "tick": w.seq, "baton": w.token, "recallS": null, "pieces": tasks})
     }
 
@@ -233,7 +239,7 @@
         for _ in 0..count {
             let name = format!("host-{:06}", self.next_machine);
             self.next_machine += 1;
-            self.machines.insert(name, -60.0);
+            self.machines.insert(name, (-60.0, "a".into()));
         }
         self.advance(0.0);
     }
@@ -278,17 +284,8 @@
                         cause: None,
                         since: now,
                     });
-                    let used: f64 = self
-                        .workers
-                        .values()
-                        .flat_map(|w| &w.tasks)
-                        .filter(|t| t.state != "ended")
-                        .map(|t| self.runs[job_of(&t.name)].1)
-                        .sum();
-                    if used > self.team_cpus + 1e-6 {
-                        self.broken
-                            .push(format!("{now:.1}: the team uses {used} CPUs"));
-                    }
+                    self.check_place(now, task, name);
+                    self.check_limit(now, self.runs[job_of(task)].team);
                 }
                 Command::Stop { task, attempt, .. } => {
                     let w = self.workers.get_mut(name).unwrap();
@@ -311,10 +308,40 @@
         }
     }
 
+    /// Tasks that are on machines, and where.
+    fn on_machines(&self) -> impl Iterator<Item = (&SimWorker, &SimTask)> {
+        let all = self.workers.values();
+        let all = all.flat_map(|w| w.tasks.iter().map(move |t| (w, t)));
+        all.filter(|(_, t)| t.state != "ended")
+    }
+
+    /// Notes a start in a zone that the job does not allow.
+    fn check_place(&mut self, now: f64, task: &str, worker: &str) {
+        let job = job_of(task);
+        let (shape, zone) = (self.runs[job], &self.workers[worker].zone);
+        let named = shape.zone.is_none_or(|z| z == zone);
+        let elsewhere = |(w, t): (&SimWorker, &SimTask)| job_of(&t.name) == job && w.zone != *zone;
+        let together = !shape.one_zone || !self.on_machines().any(elsewhere);
+        if !named || !together {
+            let text = format!("{now:.1}: {task} starts in a wrong place, {zone}");
+            self.broken.push(text);
+        }
+    }
+
+    /// Notes a team whose tasks use more than its limit.
+    fn check_limit(&mut self, now: f64, team: &str) {
+        let shapes = self.on_machines().map(|(_, t)| self.runs[job_of(&t.name)]);
+        let used: f64 = shapes.filter(|s| s.team == team).map(|s| s.cpus).sum();
+        if used > self.team_cpus + 1e-6 {
+            let text = format!("{now:.1}: the team {team} uses {used} CPUs");
+            self.broken.push(text);
+        }
+    }
+
     /// Lets machines boot, tasks end and leases run out.
     pub fn advance(&mut self, now: f64) {
-        for (name, rented) in &self.machines {
-            if now - rented > 2.0 && !self.workers.contains_key(name) {
+        for (name, (rented, zone)) in &self.machines {
+            if now - rented > self.boot_s && !self.workers.contains_key(name) {
                 self.workers.insert(
                     name.clone(),
                     SimWorker {
@@ -325,6 +352,8 @@
                         tasks: Vec::new(),
                         silent: false,
                         deaf: false,
+                        mute: false,
+                        zone: zone.clone(),
                         at_node: 0,
                         hung: None,
                     },
@@ -345,7 +374,7 @@
             }
             for t in w.tasks.iter_mut().filter(|t| t.state == "running") {
                 let job = job_of(&t.name);
-                if now - t.since >= self.runs[job].0 {
+                if now - t.since >= self.runs[job].run_s {
                     (t.state, t.cause) = ("ended", Some("done"));
                     self.ended.insert(t.name.clone());
                 }
--- a/crates/tallygauge-world/src/state.rs
+++ b/crates/tallygauge-world/src/state.rs
@@ -65,19 +65,24 @@
             if let Some((_, for_s)) = inner.late_once.take_if(meant) {
                 late_s = Some(for_s);
             }
-            if let Some(late_s) = late_s {
+            let hangs = |prefix| text.contains(&format!("\"set\":\"{prefix}"));
+            let lost = path == "/multi" && inner.lost_answers > 0.0;
+            let lost = lost && inner.chance.random::<f64>() < inner.lost_answers;
+            if inner.hang_writes.is_some_and(hangs) {
+                None
+            } else if let Some(late_s) = late_s {
                 inner.store.unsettled.push((now + late_s, body.to_vec()));
                 None
             } else {
                 inner.store.expire(now);
                 let answer = inner.store.answer(now, method, path, body);
-                let lost = writes && inner.lose_answers > 0;
-                inner.lose_answers -= u32::from(lost);
-                Some(if lost {
-                    Err(NoAnswer::Lost)
-                } else {
-                    Ok(answer)
-                })
+                let cut = writes && inner.lose_answers > 0;
+                inner.lose_answers -= u32::from(cut);
+                match (cut, lost) {
+                    (true, _) => Some(Err(NoAnswer::Lost)),
+                    (false, true) => None,
+                    (false, false) => Some(Ok(answer)),
+                }
             }
         };
         self.changed.notify_waiters();
--- a/crates/tallygauge-world/src/troubles.rs
+++ b/crates/tallygauge-world/src/troubles.rs
@@ -100,6 +100,9 @@
     /// Lets a report come again some time later, as chance has it.
     pub(crate) fn note_copy(&self, now: f64, body: &[u8]) {
         let mut inner = self.inner.lock().unwrap();
+        if inner.keep_reports {
+            inner.kept_reports.push(body.to_vec());
+        }
         let (part, most) = inner.copying;
         if part > 0.0 && inner.chance.random::<f64>() < part {
             let at = now + inner.chance.random::<f64>() * most;
@@ -115,7 +118,19 @@
             let due = inner.copies.extract_if(.., |c| c.0 <= now);
             due.map(|c| c.1).collect()
         };
-        if due.is_empty() {
+        self.bring_to_all(&due);
+    }
+
+    /// Brings the copies of reports that were kept to every node that is up.
+    /// Returns how many there were.
+    pub fn bring_kept(&self) -> usize {
+        let kept = std::mem::take(&mut self.inner.lock().unwrap().kept_reports);
+        self.bring_to_all(&kept);
+        kept.len()
+    }
+
+    fn bring_to_all(&self, reports: &[Vec<u8>]) {
+        if reports.is_empty() {
             return;
         }
         let nodes: Vec<Arc<Node>> = self
@@ -130,7 +145,7 @@
             .iter()
             .filter(|n| !self.is_frozen(&n.settings.node_name))
         {
-            for body in &due {
+            for body in reports {
                 let _ = check_in(node, body);
             }
         }
@@ -149,6 +164,21 @@
         }
     }
 
+    /// A machine's reports don't arrive; direct commands reach it.
+    pub fn mute(&self, worker: &str, mute: bool) {
+        let mut inner = self.inner.lock().unwrap();
+        if let Some(w) = inner.workers.get_mut(worker) {
+            w.mute = mute;
+        }
+    }
+
+    /// A machine is gone with all that is on it; the list shows it no more.
+    pub fn destroy(&self, worker: &str) {
+        let mut inner = self.inner.lock().unwrap();
+        inner.workers.remove(worker);
+        inner.machines.remove(worker);
+    }
+
     /// A machine is back within a fraction of a second, all that ran there gone:
     /// its worker counts from the beginning.
     pub fn begin_again(&self, worker: &str) {
--- a/crates/tallygauge-world/src/users.rs
+++ b/crates/tallygauge-world/src/users.rs
@@ -11,20 +11,61 @@
 use tokio::{task::JoinHandle, time::Instant};
 use warp::http::Method;
 
+/// What is submitted of a job, as far as days differ in it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct JobShape {
+    /// Tasks.
+    pub tasks: u32,
+    /// CPUs of each.
+    pub cpus: f64,
+    /// Seconds that each runs.
+    pub run_s: f64,
+    /// Team.
+    pub team: &'static str,
+    /// Priority.
+    pub urgency: &'static str,
+    /// The only zone allowed, if any.
+    pub zone: Option<&'static str>,
+    /// Whether all tasks must be in one zone.
+    pub one_zone: bool,
+}
+
+impl Default for JobShape {
+    fn default() -> Self {
+        Self {
+            tasks: 1,
+            cpus: 1.0,
+            run_s: 5.0,
+            team: "t",
+            urgency: "normal",
+            zone: None,
+            one_zone: false,
+        }
+    }
+}
+
 impl World {
     /// What the user submits; its tasks will run for `run_s`.
     pub fn job(&self, number: u32, tasks: u32, cpus: f64, run_s: f64) -> (String, Vec<u8>) {
+        let shape = JobShape {
+            tasks,
+            cpus,
+            run_s,
+            ..JobShape::default()
+        };
+        self.job_of(number, shape)
+    }
+
+    /// What the user submits of a job of any shape.
+    pub fn job_of(&self, number: u32, shape: JobShape) -> (String, Vec<u8>) {
         let id = format!("req-{number:06}");
-        self.inner
-            .lock()
-            .unwrap()
-            .runs
-            .insert(id.clone(), (run_s, cpus));
+        self.inner.lock().unwrap().runs.insert(id.clone(), shape);
         let body = json!({
-            "nameId": id, "workload": "w", "owner": "t", "shape": "array", "urgency": "normal",
-            "pieces": tasks, "cores": cpus, "gpus": 0.0, "memGb": 1.0, "bundle": "i", "pullGb": 1.0,
-            "oneZone": false, "spread": false, "borrowed": false,
-            "expectedS": run_s, "snapshotEveryS": 0.0, "snapshotS": 0.0
+            "nameId": id, "workload": "w", "owner": shape.team, "shape": "array",
+            "urgency": shape.urgency, "pieces": shape.tasks, "cores": shape.cpus, "gpus": 0.0,
+            "memGb": 1.0, "bundle": "i", "pullGb": 1.0, "site": shape.zone,
+            "oneZone": shape.one_zone, "spread": false, "borrowed": false,
+            "expectedS": shape.run_s, "snapshotEveryS": 0.0, "snapshotS": 0.0
         });
         (id, body.to_string().into_bytes())
     }
