--- a/crates/tallygauge/src/cloud.rs
+++ b/crates/tallygauge/src/cloud.rs
@@ -2,12 +2,20 @@
 
 use crate::node::Node;
 use serde::{Serialize, de::DeserializeOwned};
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 use tallygauge_sched::LeaveReason;
 use tallygauge_state::{first_time, http::NoAnswer};
 use tallygauge_wire::cloud::{
     Catalogue, MACHINE_PAGE, MAX_RETURN, MachinePage, MachineType, Machines, RentRequest,
 };
+use tokio::time::Instant;
 use warp::http::{Method, StatusCode};
 
 enum Trouble {
@@ -99,43 +107,107 @@
     tries: u32,
 }
 
-/// Deals with the cloud while this node leads.
+/// Deals out the requests that the cloud allows among the loops of a leader.
+struct Pace {
+    gap: Duration,
+    next: Mutex<Instant>,
+}
+
+impl Pace {
+    fn new(requests_per_s: f64) -> Self {
+        Self {
+            gap: Duration::from_secs_f64(1.0 / requests_per_s),
+            next: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Waits for the next turn.
+    async fn turn(&self) {
+        let at = {
+            let mut next = self.next.lock().expect("pace lock");
+            let at = (*next).max(Instant::now() + self.gap);
+            *next = at + self.gap;
+            at
+        };
+        tokio::time::sleep_until(at).await;
+    }
+}
+
+/// Deals with the cloud while this node leads: lists, returns and rentals, none of
+/// which waits for another's answer.
 pub async fn run(node: &Arc<Node>, term: u64) {
+    let pace = Pace::new(node.settings.deployment.cloud.rps);
+    let listed = AtomicBool::new(false);
+    tokio::join!(
+        follow_lists(node, &pace, &listed),
+        return_machines(node, &pace),
+        rent_machines(node, &pace, &listed, term),
+    );
+}
+
+/// Seconds between two readings of the machine list.
+fn list_every_s(node: &Node) -> f64 {
     let limits = &node.settings.deployment.cloud;
-    let pause = Duration::from_secs_f64(1.0 / limits.rps);
-    let list_every = (limits.list_lag_s * 0.5).max(4.0 / limits.rps);
-    let catalogue_every = limits.list_lag_s * 8.0;
-    let (mut listed, mut catalogued) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
-    let mut pending: Option<Pending> = None;
-    let mut booked = 0u64;
-    let began = node.now();
-    let balance_every = node.settings.deployment.workers.report_s * 0.5;
-    let mut balanced = f64::NEG_INFINITY;
+    (limits.list_lag_s * 0.5).max(4.0 / limits.rps)
+}
+
+/// Reads the catalogue and the machine list now and then. Notes in `listed` that
+/// the list was read.
+async fn follow_lists(node: &Node, pace: &Pace, listed: &AtomicBool) {
+    let list_every = list_every_s(node);
+    let catalogue_every = node.settings.deployment.cloud.list_lag_s * 8.0;
+    let (mut listed_at, mut catalogued) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
     loop {
-        let wait = Duration::from_secs_f64(list_every * 0.5);
-        let _ = tokio::time::timeout(wait, node.wake_cloud.notified()).await;
-        tokio::time::sleep(pause).await;
-        let now = node.now();
-        if now - catalogued > catalogue_every {
+        if node.now() - catalogued > catalogue_every {
+            pace.turn().await;
             if read_catalogue(node).await {
-                catalogued = now;
+                catalogued = node.now();
             }
-            tokio::time::sleep(pause).await;
         }
-        let now = node.now();
-        if now - listed > list_every {
+        if node.now() - listed_at > list_every {
+            let asked = node.now();
+            pace.turn().await;
             if read_list(node).await {
-                listed = now;
+                listed_at = asked;
+                listed.store(true, Ordering::Relaxed);
+                node.wake_cloud.notify_one();
             }
-            tokio::time::sleep(pause).await;
         }
+        tokio::time::sleep(Duration::from_secs_f64(list_every * 0.25)).await;
+    }
+}
+
+/// Rebalances and returns machines that are not wanted.
+async fn return_machines(node: &Node, pace: &Pace) {
+    let balance_every = node.settings.deployment.workers.report_s * 0.5;
+    let pause = Duration::from_secs_f64((list_every_s(node) * 0.25).min(balance_every));
+    let mut balanced = f64::NEG_INFINITY;
+    loop {
         let now = node.now();
         if now - balanced > balance_every {
             balanced = now;
             node.with_cluster(|c| c.balance(now));
         }
-        give_back(node, pause).await;
-        if pending.is_none() && listed.is_finite() {
+        if give_back(node).await {
+            pace.turn().await;
+        } else {
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
+
+/// Rents machines, one booking at a time: the next is worked out from what the last
+/// one brought.
+async fn rent_machines(node: &Node, pace: &Pace, listed: &AtomicBool, term: u64) {
+    let limits = &node.settings.deployment.cloud;
+    let wait = Duration::from_secs_f64(list_every_s(node) * 0.5);
+    let began = node.now();
+    let mut pending: Option<Pending> = None;
+    let mut booked = 0u64;
+    loop {
+        let _ = tokio::time::timeout(wait, node.wake_cloud.notified()).await;
+        pace.turn().await;
+        if pending.is_none() && listed.load(Ordering::Relaxed) {
             // What the leader before asked for last may not be listed yet.
             let settled = term == 1 || node.now() - began > limits.list_lag_s;
             let wanted = (settled && node.may_command())
@@ -161,7 +233,7 @@
         if let Some(p) = pending.take_if(|_| node.may_command()) {
             pending = rent(node, p).await;
             if pending.is_some() {
-                tokio::time::sleep(pause * 4).await;
+                tokio::time::sleep(pace.gap * 4).await;
             } else {
                 node.wake_cloud.notify_one();
             }
@@ -224,9 +296,10 @@
 /// the moment it is asked for, nothing is placed on it any more, since the
 /// request may be carried out late. While another node may lead, and use these
 /// machines, only those go that can't confirm that cancelled work stopped.
-async fn give_back(node: &Node, pause: Duration) {
+/// Says whether more may be asked for at once: the last request was answered.
+async fn give_back(node: &Node) -> bool {
     if !node.may_command() {
-        return;
+        return false;
     }
     let (now, sure) = (node.now(), node.surely_leads());
     let Some(due) = node.with_cluster(|c| {
@@ -237,10 +310,10 @@
         c.return_sent(&names);
         due
     }) else {
-        return;
+        return false;
     };
     if due.is_empty() {
-        return;
+        return false;
     }
     let reasons: BTreeMap<&str, LeaveReason> = due.iter().map(|d| (d.0.as_str(), d.1)).collect();
     let request = Machines {
@@ -252,16 +325,17 @@
         .call(Method::POST, &url, Some(&request), Duration::from_secs(4))
         .await;
     let now = node.now();
-    if matches!(answer, Ok((StatusCode::OK, _))) {
-        node.with_cluster(|c| {
-            for name in &request.names {
-                c.gone(name, now);
-            }
-        });
-        for (machine, reason) in reasons {
-            tracing::info!(machine, ?reason, "returned");
+    if !matches!(answer, Ok((StatusCode::OK, _))) {
+        return false;
+    }
+    node.with_cluster(|c| {
+        for name in &request.names {
+            c.gone(name, now);
         }
-        node.wake.notify_one();
+    });
+    for (machine, reason) in reasons {
+        tracing::info!(machine, ?reason, "returned");
     }
-    tokio::time::sleep(pause).await;
+    node.wake.notify_one();
+    true
 }
