--- a/crates/tallygauge/src/users.rs
+++ b/crates/tallygauge/src/users.rs
@@ -363,6 +363,21 @@
     None
 }
 
+/// Reads a job's records: what a transaction about it met. `None` if that can't be
+/// known, or the job has no record.
+async fn read_state(node: &Node, id: &str) -> Option<Found> {
+    let asked = node.now();
+    if let Some(row) = node.state.get(Class::Users, &open_key(id)).await.ok()? {
+        node.lock(&node.jobs).put(id, Known::Open(row.version));
+        return (node.now() - asked <= FRESH_S).then_some(Found::Open);
+    }
+    let row = node.state.get(Class::Users, &over_key(id)).await.ok()??;
+    let record: OverRecord = serde_json::from_value(row.value).ok()?;
+    let known = Known::Over(record.status, record.done);
+    node.lock(&node.jobs).put(id, known);
+    Some(Found::Over(record.status, record.done))
+}
+
 fn found(node: &Node, id: &str, found: Found) -> Option<JobAnswer> {
     let (status, done, running) = match found {
         Found::Unknown => return None,
@@ -521,10 +536,11 @@
             node.lock(&node.jobs).put(id, Known::Open(version));
             return Reply::Job(201, answer(id, JobStatus::Pending));
         }
+        // Known already, perhaps by an earlier copy of this submission.
         Ok(Outcome::Conflict(_)) => {
-            return match repeat(node, id).await {
-                Ok(Some(reply)) | Err(reply) => reply,
-                Ok(None) => later(),
+            return match read_state(node, id).await.and_then(|w| found(node, id, w)) {
+                Some(known) => Reply::Job(200, answer(id, known.status)),
+                None => later(),
             };
         }
         Ok(Outcome::NoLease) | Err(_) => {}
@@ -591,8 +607,12 @@
                 node.wake.notify_one();
                 return Reply::Job(200, answer(id, JobStatus::Cancelled));
             }
-            // An earlier copy may have been executed: looked up again.
-            Ok(_) => {}
+            // Over by now, perhaps by an earlier copy of this cancellation.
+            Ok(_) => {
+                if let Some(Found::Over(status, _)) = read_state(node, id).await {
+                    return Reply::Job(200, answer(id, status));
+                }
+            }
             Err(_) => return later(),
         }
     }
