--- a/crates/tallygauge-sched/examples/scale.rs
+++ b/crates/tallygauge-sched/examples/scale.rs
@@ -1,7 +1,8 @@
 //! What rounds, reports and a take-over cost by number of machines and tasks.
 //!
-//! `cargo run --release -p tallygauge-sched --example scale`
+//! `cargo run --release -p tallygauge-sched --example scale -- --machines 500,1000`
 
+use clap::Parser;
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     time::Instant,
@@ -232,8 +233,16 @@
     );
 }
 
+/// Measures the cluster state alone.
+#[derive(Parser)]
+struct Options {
+    /// Numbers of machines to measure, separated by commas.
+    #[arg(long, value_delimiter = ',', default_values_t = [30, 100, 300, 1000, 2000])]
+    machines: Vec<usize>,
+}
+
 fn main() {
-    for machines in [30, 100, 300, 1000, 2000] {
+    for machines in Options::parse().machines {
         play(machines);
     }
 }
