--- a/crates/tallygauge-world/src/machines.rs
+++ b/crates/tallygauge-world/src/machines.rs
@@ -39,6 +39,9 @@
     pub(crate) hung: Option<f64>,
 }
 
+/// CPUs of a machine.
+const MACHINE_CPUS: f64 = 8.0;
+
 /// The job that a task belongs to.
 fn job_of(task: &str) -> &str {
     task.split('/').next().unwrap_or_default()
@@ -64,6 +67,28 @@
         tasks.filter(of_job).count()
     }
 
+    /// Whether a task of a job could start now: none of it is on a machine, its team
+    /// is under its limit, and a machine that it may use is up, speaks and has room.
+    pub fn could_start(&self, id: &str) -> bool {
+        let inner = self.inner.lock().unwrap();
+        let shape = inner.runs[id];
+        let of_team = |t: &SimTask| inner.runs[job_of(&t.name)].team == shape.team;
+        let used: f64 = inner
+            .on_machines()
+            .filter(|(_, t)| of_team(t))
+            .map(|(_, t)| inner.runs[job_of(&t.name)].cpus)
+            .sum();
+        let waits = !inner.on_machines().any(|(_, t)| job_of(&t.name) == id);
+        let room = |w: &SimWorker| {
+            let on = w.tasks.iter().filter(|t| t.state != "ended");
+            let cpus: f64 = on.map(|t| inner.runs[job_of(&t.name)].cpus).sum();
+            let speaks = !w.silent && !w.deaf && !w.mute && w.hung.is_none();
+            let here = shape.zone.is_none_or(|z| z == w.zone);
+            speaks && here && cpus + shape.cpus <= MACHINE_CPUS
+        };
+        waits && used + shape.cpus <= inner.team_cpus && inner.workers.values().any(room)
+    }
+
     /// Tasks of a job count as never completed, as if it were called done too
     /// soon.
     pub fn unend(&self, id: &str) {
--- a/crates/tallygauge-world/tests/days.rs
+++ b/crates/tallygauge-world/tests/days.rs
@@ -34,6 +34,9 @@
     "GET /store?starts=t/",
 ];
 
+/// Seconds for which no job may be left waiting beside room, once troubles are over.
+const NEGLECTED_S: f64 = 90.0;
+
 /// Seconds after the last trouble by which a job must have been answered for.
 const FORGOTTEN_S: f64 = 75.0;
 
@@ -186,6 +189,8 @@
     Lost,
     /// A job is called done of which a task never ended.
     NotDone,
+    /// No placement is ever made, while machines have room.
+    NothingPlaced,
 }
 
 /// One day; returns what was wrong with it.
@@ -412,10 +417,17 @@
             site.jobs.push(Accepted::new(id.clone(), 1));
             id
         }
+        Plant::NothingPlaced => {
+            site.world.inner.lock().unwrap().hang_writes = Some("p/");
+            let (id, body) = site.world.job(99, 1, 1.0, 1.0);
+            accepted(&site.nodes[0].0, &body).await;
+            site.jobs.push(Accepted::new(id.clone(), 1));
+            id
+        }
         Plant::Nothing | Plant::Lost | Plant::NotDone => String::new(),
     };
     match plant {
-        Plant::Nothing => {}
+        Plant::Nothing | Plant::NothingPlaced => {}
         Plant::NobodyServed => site.world.set_down(true),
         Plant::RanTwice => site.world.start_twice(&format!("{planted}/0")),
         Plant::RunsOn => site.world.told_cancelled(&planted),
@@ -424,6 +436,7 @@
     }
     let over = site.world.now();
     let mut answered = vec![over; site.jobs.len()];
+    let mut served = vec![over; site.jobs.len()];
     while site.world.now() - over < 420.0 + work_s && site.wrong.is_empty() {
         for (job, answered) in answered.iter_mut().enumerate() {
             for node in 0..NODES {
@@ -436,6 +449,17 @@
                 site.wrong.push(format!("{id} is forgotten"));
             }
         }
+        let now = site.world.now();
+        for (job, served) in site.jobs.iter().zip(&mut served) {
+            let open = job.over.is_none() && !job.cancelled && plant != Plant::Lost;
+            if !open || !site.world.could_start(&job.id) {
+                *served = now;
+            }
+            if now - *served > NEGLECTED_S {
+                site.wrong
+                    .push(format!("{} is left waiting beside room", job.id));
+            }
+        }
         if site.jobs.iter().all(|j| j.over.is_some()) {
             break;
         }
@@ -504,6 +528,7 @@
         (Plant::RunsOn, "still runs"),
         (Plant::Lost, "forgotten"),
         (Plant::NotDone, "is not done"),
+        (Plant::NothingPlaced, "is left waiting"),
     ] {
         let wrong = day(7, plant).await;
         assert!(
