--- a/crates/tallygauge-capacity/src/demand.rs
+++ b/crates/tallygauge-capacity/src/demand.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     fit::Line,
-    measured::{CLUSTER_STATE, StatePoint},
+    measured::{CLUSTER_STATE, PROGRAM, ProgramPoint, StatePoint},
     target::Target,
 };
 use std::fmt::Write as _;
@@ -42,12 +42,17 @@
             .collect();
         Line::through(&points).map(|line| Slope { name, unit, line })
     };
+    let program = |name, unit, cost: fn(&ProgramPoint) -> f64| {
+        let points: Vec<(f64, f64)> = PROGRAM.iter().map(|p| (p.machines, cost(p))).collect();
+        Line::through(&points).map(|line| Slope { name, unit, line })
+    };
     [
         slope("round, mean", "ms", |p| p.round_us / 1e3),
         slope("round, longest", "ms", |p| p.longest_round_us / 1e3),
         slope("report", "us", |p| p.report_us),
         slope("record of placements", "bytes", |p| p.record_bytes),
         slope("take-over, state rebuilt", "ms", |p| p.take_over_us / 1e3),
+        program("memory of a leader", "MB", |p| p.memory_mb),
     ]
     .into_iter()
     .flatten()
--- a/crates/tallygauge-capacity/src/measured.rs
+++ b/crates/tallygauge-capacity/src/measured.rs
@@ -45,3 +45,44 @@
         take_over_us,
     }
 }
+
+/// `cargo run --release -p tallygauge-world --example load -- --machines N --report 5
+/// --steady 10`, 2026-12-02: the whole program as one process, four tasks a machine,
+/// stand-ins beside it on the same machine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ProgramPoint {
+    /// Machines.
+    pub machines: f64,
+    /// Seconds until four tasks had started on each, meeting included.
+    pub start_s: f64,
+    /// Processor time of a request in the meeting and starting phase, microseconds.
+    pub start_us: f64,
+    /// The same in the steady phase.
+    pub steady_us: f64,
+    /// Memory in the steady phase, MB.
+    pub memory_mb: f64,
+}
+
+/// The whole program. The first second of a start is the example's own pause.
+pub const PROGRAM: [ProgramPoint; 4] = [
+    program(250.0, 2.5, 65.0, 270.0, 19.3),
+    program(500.0, 2.5, 66.0, 209.0, 29.6),
+    program(1_000.0, 2.8, 69.0, 168.0, 51.0),
+    program(1_800.0, 11.7, 127.0, 174.0, 88.5),
+];
+
+const fn program(
+    machines: f64,
+    start_s: f64,
+    start_us: f64,
+    steady_us: f64,
+    memory_mb: f64,
+) -> ProgramPoint {
+    ProgramPoint {
+        machines,
+        start_s,
+        start_us,
+        steady_us,
+        memory_mb,
+    }
+}
