Tests: no batch in another leader's term, none left behind, an end decided by the record

Guards taken out one by one found three that nothing failed without: a batch's term, reading a conflict after a copy in doubt, and the record's version in a job's end. The stand-in notes a batch that is written in another term; lost answers must leave no batch behind; and a cancellation that the leader hears of late meets the end of a job's last task.

--- a/crates/tallygauge-world/src/state.rs
+++ b/crates/tallygauge-world/src/state.rs
@@ -19,7 +19,8 @@
     next_lease: u64,
     /// Transactions that were not answered and are carried out later: when, which.
     unsettled: Vec<(f64, Vec<u8>)>,
-    /// What was written under each batch's name, and what else was later.
+    /// What was written under each batch's name; and batches that were written with
+    /// something else later, or in the term of another leader.
     batches: BTreeMap<String, Value>,
     pub(crate) repeated: Vec<String>,
 }
@@ -43,6 +44,13 @@
         changes.filter(|c| c.0.starts_with(prefix)).count()
     }
 
+    /// Keys on record that begin with a prefix.
+    pub fn rows_of(&self, prefix: &str) -> usize {
+        let inner = self.inner.lock().unwrap();
+        let keys = inner.store.rows.keys();
+        keys.filter(|k| k.starts_with(prefix)).count()
+    }
+
     /// Answers a node in the state service's stead.
     pub async fn state(&self, node: &str, method: &Method, path: &str, body: &[u8]) -> Answer {
         if self.inner.lock().unwrap().cut.contains(node) {
@@ -270,7 +278,12 @@
             match write {
                 Write::Set { key, value, lease } => {
                     assert!(value.to_string().len() <= 8192);
-                    if key.starts_with("p/") {
+                    if let Some(term) = key.strip_prefix("p/").and_then(|k| k.split('-').next()) {
+                        let now = &self.rows["t/term"].0["term"];
+                        if now.as_u64() != term.parse().ok() {
+                            let text = format!("{key}, in term {now},");
+                            self.repeated.push(text);
+                        }
                         let first = self.batches.entry(key.clone());
                         if *first.or_insert_with(|| value.clone()) != value {
                             self.repeated.push(key.clone());
--- a/crates/tallygauge-world/tests/meetings_answers.rs
+++ b/crates/tallygauge-world/tests/meetings_answers.rs
@@ -159,6 +159,9 @@
         jobs.push(job.clone());
         let ends = until(60.0, async || world.all_ended(&job.0, 1));
         assert!(ends.await);
+        // The leader hears of a cancellation late, and of the end as ever: only the
+        // record tells which came first.
+        world.inner.lock().unwrap().hold_watches = n % 2 == 0;
         // From just after the end until well after it is on record.
         tokio::time::sleep(Duration::from_millis(u64::from(n) * 37)).await;
         let mut all = Vec::new();
@@ -173,16 +176,20 @@
         for one in all {
             one.await.unwrap();
         }
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        world.inner.lock().unwrap().hold_watches = false;
     }
-    for (id, _) in &jobs {
+    for job in &jobs {
         for node in &nodes {
             let over = until(30.0, async || {
                 matches!(
-                    ask(node, id).await,
+                    ask(node, &job.0).await,
                     Some(JobStatus::Done | JobStatus::Cancelled)
                 )
             });
-            assert!(over.await, "{id}");
+            assert!(over.await, "{}", job.0);
+            let (world, node, job) = (world.clone(), node.clone(), job.clone());
+            request(world, node, history.clone(), Request::Ask, job).await;
         }
     }
     assert_eq!(
--- a/crates/tallygauge-world/tests/meetings_machines.rs
+++ b/crates/tallygauge-world/tests/meetings_machines.rs
@@ -60,6 +60,9 @@
         }
         let took = world.now() - began;
         assert!(took < LEASE_S * 6.0, "{seed}: {took:.0} s");
+        // A batch whose answer was lost is known to be made, and goes when it is over.
+        let gone = until(LEASE_S * 3.0, async || world.rows_of("p/") == 0);
+        assert!(gone.await, "{seed}: {} batches stay", world.rows_of("p/"));
         world.assert_rules();
     }
 }
