--- a/crates/tallygauge-world/tests/meetings_answers.rs
+++ b/crates/tallygauge-world/tests/meetings_answers.rs
@@ -297,3 +297,39 @@
         world.assert_rules();
     }
 }
+
+// A node that carries out a cancellation stands still after it has read the job's
+// record; the job ends meanwhile, and its user is told so. Done it stays.
+#[tokio::test(start_paused = true)]
+async fn a_job_ends_while_the_node_that_cancels_it_stands_still() {
+    let (world, nodes, _tasks) = three().await;
+    let job = world.job(1, 1, 1.0, 6.0);
+    accepted(&nodes[0], &job.1).await;
+    assert!(until(60.0, async || world.running(&job.0) == 1).await);
+    let history = Arc::new(Mutex::new(History::default()));
+    world.inner.lock().unwrap().freeze_at = Some(StepAt {
+        node: "n-b".into(),
+        request: "GET /store/o/",
+        answered: true,
+    });
+    let (node, id) = (nodes[1].clone(), job.0.clone());
+    let cancels = world.on("n-b", async move { users::cancel(&node, &id).await });
+    let cancels = tokio::spawn(cancels);
+    assert!(until(5.0, async || world.is_frozen("n-b")).await);
+    assert!(done(&nodes[0], &job.0).await);
+    let ask_at = |node: &Arc<Node>| {
+        let (world, node, history) = (world.clone(), node.clone(), history.clone());
+        request(world, node, history, Request::Ask, job.clone())
+    };
+    ask_at(&nodes[0]).await;
+    world.thaw("n-b");
+    assert_eq!(status_of(&cancels.await.unwrap()), Some(JobStatus::Done));
+    for node in &nodes {
+        ask_at(node).await;
+    }
+    assert_eq!(
+        history.lock().unwrap().older_answers(),
+        Vec::<String>::new()
+    );
+    world.assert_rules();
+}
--- a/crates/tallygauge-world/tests/meetings_leaders.rs
+++ b/crates/tallygauge-world/tests/meetings_leaders.rs
@@ -353,3 +353,27 @@
         world.assert_rules();
     }
 }
+
+// A leader stands still with a placement on its way out, and the next one leads when
+// it goes on: the write finds another term. The stand-in notes any that does not.
+#[tokio::test(start_paused = true)]
+async fn a_placement_that_goes_out_under_the_next_term_is_refused() {
+    let (world, a, _ta) = led().await;
+    let (b, _tb) = world.node("n-b");
+    let (first, body) = world.job(1, 1, 1.0, 2.0);
+    accepted(&b, &body).await;
+    assert!(done(&b, &first).await);
+    let (second, body) = world.job(2, 2, 4.0, 5.0);
+    world.inner.lock().unwrap().freeze_at = Some(StepAt {
+        node: "n-a".into(),
+        request: "POST /multi",
+        answered: false,
+    });
+    accepted(&b, &body).await;
+    assert!(until(LEASE_S, async || world.is_frozen("n-a")).await);
+    leading(&b).await;
+    world.thaw("n-a");
+    assert!(until(LEASE_S, async || !leads(&a)).await);
+    assert!(done(&b, &second).await);
+    world.assert_rules();
+}
