--- a/crates/tallygauge-world/tests/meetings_answers.rs
+++ b/crates/tallygauge-world/tests/meetings_answers.rs
@@ -307,6 +307,8 @@
     accepted(&nodes[0], &job.1).await;
     assert!(until(60.0, async || world.running(&job.0) == 1).await);
     let history = Arc::new(Mutex::new(History::default()));
+    // In its cache, it is read for the cancellation alone.
+    assert!(ask(&nodes[1], &job.0).await.is_some());
     world.inner.lock().unwrap().freeze_at = Some(StepAt {
         node: "n-b".into(),
         request: "GET /store/o/",
