--- a/crates/tallygauge-world/examples/load.rs
+++ b/crates/tallygauge-world/examples/load.rs
@@ -120,7 +120,7 @@
         let (world, name) = (w.clone(), n.clone());
         c.direct.fetch_add(1, Relaxed);
         t.notify_one();
-        async move { world.orders(&name, &body).await }
+        async move { world.orders("", &name, &body).await }
     });
     loop {
         let sent = world.now();
--- a/crates/tallygauge-world/src/lib.rs
+++ b/crates/tallygauge-world/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use history::History;
 pub use troubles::StepAt;
-pub use users::{JobShape, To, accepted, ask, leads, led, started, status_of, until};
+pub use users::{JobShape, To, accepted, ask, cancel, done, leads, led, started, status_of, until};
 
 use machines::SimWorker;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -98,6 +98,8 @@
     pub boot_s: f64,
     /// Zones with machines.
     pub zones: Vec<&'static str>,
+    /// Workers that only one node reaches, and that reach only that one.
+    pub apart: HashMap<String, String>,
     /// The next transaction that writes a key which begins with this gets no answer
     /// and is carried out so many seconds later.
     pub late_once: Option<(&'static str, f64)>,
@@ -178,7 +180,7 @@
             let answer = match host {
                 "127.0.0.1:7002" => world.state(&node, &method, path, &body).await,
                 "127.0.0.1:7001" => Ok(world.cloud(&method, path, &body)),
-                _ => world.orders(host, &body).await,
+                _ => world.orders(&node, host, &body).await,
             };
             world.pass(&node, &request, true).await;
             let garbled = world.inner.lock().unwrap().garbled;
@@ -218,6 +220,7 @@
                 late_writes: 0.0,
                 lost_answers: 0.0,
                 hang_writes: None,
+                apart: HashMap::new(),
                 link_s: 0.003,
                 boot_s: 2.0,
                 zones: vec!["a"],
--- a/crates/tallygauge-world/src/state.rs
+++ b/crates/tallygauge-world/src/state.rs
@@ -36,6 +36,13 @@
         }
     }
 
+    /// Changes so far of keys that begin with a prefix.
+    pub fn changes_of(&self, prefix: &str) -> usize {
+        let inner = self.inner.lock().unwrap();
+        let changes = inner.store.changes.iter();
+        changes.filter(|c| c.0.starts_with(prefix)).count()
+    }
+
     /// Answers a node in the state service's stead.
     pub async fn state(&self, node: &str, method: &Method, path: &str, body: &[u8]) -> Answer {
         if self.inner.lock().unwrap().cut.contains(node) {
--- a/crates/tallygauge-world/src/troubles.rs
+++ b/crates/tallygauge-world/src/troubles.rs
@@ -209,7 +209,10 @@
 
     pub fn silence(&self, worker: &str, silent: bool) {
         let mut inner = self.inner.lock().unwrap();
-        inner.workers.get_mut(worker).unwrap().silent = silent;
+        // It may be gone.
+        if let Some(w) = inner.workers.get_mut(worker) {
+            w.silent = silent;
+        }
     }
 
     /// A machine hangs: it does nothing, and what is sent to it waits; or it goes
--- a/crates/tallygauge-world/src/users.rs
+++ b/crates/tallygauge-world/src/users.rs
@@ -1,6 +1,6 @@
 //! Users: what they submit, ask and are told.
 
-use crate::World;
+use crate::{LEASE_S, World};
 use serde_json::json;
 use std::{sync::Arc, time::Duration};
 use tallygauge::{
@@ -105,6 +105,23 @@
     assert!(kept, "not accepted");
 }
 
+/// Cancels a job through a node, whose user must be told so within so many seconds.
+pub async fn cancel(world: &World, node: &Arc<Node>, id: &str, within_s: f64) {
+    let told = until(within_s, async || {
+        status_of(&users::cancel(node, id).await) == Some(JobStatus::Cancelled)
+    });
+    assert!(told.await, "{id} can't be cancelled");
+    world.told_cancelled(id);
+}
+
+/// Whether a job is called done within thirty leases.
+pub async fn done(node: &Arc<Node>, id: &str) -> bool {
+    until(LEASE_S * 30.0, async || {
+        ask(node, id).await == Some(JobStatus::Done)
+    })
+    .await
+}
+
 /// A world in play, led by its first node.
 pub async fn led() -> (Arc<World>, Arc<Node>, JoinHandle<()>) {
     let world = World::new();
--- /dev/null
+++ b/crates/tallygauge-world/tests/meetings_answers.rs
@@ -0,0 +1,292 @@
+//! Meetings of troubles in which users must not be told anything older than before.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tallygauge::{node::Node, users};
+use tallygauge_wire::users::JobStatus;
+use tallygauge_world::{
+    CANCEL_S, History, JobShape, StepAt, To, World, accepted, ask, cancel, done, led, status_of,
+    until,
+};
+use tokio::task::JoinHandle;
+use warp::http::Method;
+
+/// Three controllers of which the first leads, each of which passes users on to
+/// another.
+async fn three() -> (Arc<World>, Vec<Arc<Node>>, Vec<JoinHandle<()>>) {
+    let (world, a, task) = led().await;
+    let mut nodes = vec![a];
+    let mut tasks = vec![task];
+    for name in ["n-b", "n-c"] {
+        let (node, task) = world.node(name);
+        nodes.push(node);
+        tasks.push(task);
+    }
+    for n in 0..3 {
+        let peer = nodes[(n + 1) % 3].clone();
+        *nodes[n].lock(&nodes[n].relay) = Some(Arc::new(To(peer)));
+    }
+    (world, nodes, tasks)
+}
+
+/// What a user does.
+#[derive(Debug, Clone, Copy)]
+enum Request {
+    Ask,
+    Submit,
+    Cancel,
+}
+
+/// A user's request at one node, noted in the history; and what is told of the end
+/// must be true.
+async fn request(
+    world: Arc<World>,
+    node: Arc<Node>,
+    history: Arc<Mutex<History>>,
+    what: Request,
+    (id, body): (String, Vec<u8>),
+) {
+    let asked = world.now();
+    let name = node.settings.node_name.clone();
+    let (method, path) = match what {
+        Request::Ask => (Method::GET, format!("/work/{id}")),
+        Request::Submit => (Method::POST, "/work".to_string()),
+        Request::Cancel => (Method::POST, format!("/work/{id}/abort")),
+    };
+    let reply = world.on(&name, async move {
+        users::serve(&node, &method, &path, &body).await
+    });
+    let Ok(Some(reply)) = tokio::time::timeout(Duration::from_secs(5), reply).await else {
+        return;
+    };
+    match status_of(&reply) {
+        Some(JobStatus::Cancelled) => world.told_cancelled(&id),
+        Some(JobStatus::Done) => assert!(world.all_ended(&id, 1), "{id} is not done"),
+        _ => {}
+    }
+    let told = world.now();
+    history.lock().unwrap().note(&id, asked, told, &reply);
+}
+
+/// Asks at all nodes every few milliseconds, from before a job is submitted until
+/// after it is over, while others repeat the submission and, if so wished, cancel it.
+async fn looked_at_closely(seed: u64, lost_answers: f64, cancels: bool, freezes: bool) {
+    let (world, nodes, _tasks) = three().await;
+    world.seed(seed);
+    let history = Arc::new(Mutex::new(History::default()));
+    let shape = JobShape {
+        run_s: 3.0,
+        ..JobShape::default()
+    };
+    // A machine is up, and a job in every node's cache before.
+    let (first, body) = world.job_of(1, shape);
+    accepted(&nodes[0], &body).await;
+    assert!(done(&nodes[0], &first).await);
+    world.inner.lock().unwrap().lost_answers = lost_answers;
+    let job = world.job_of(2, shape);
+    let mut all = Vec::new();
+    let began = world.now();
+    for step in 0..900u64 {
+        let at = (step + seed) as usize % 3;
+        let what = match step {
+            0..3 => Request::Ask,
+            _ if step % 40 == 3 => Request::Submit,
+            _ if cancels && step >= 60 + seed * 37 && step % 30 == 0 => Request::Cancel,
+            _ => Request::Ask,
+        };
+        if freezes && step == 100 {
+            world.freeze("n-b");
+        }
+        if freezes && step == 300 + seed * 10 {
+            world.thaw("n-b");
+        }
+        all.push(tokio::spawn(request(
+            world.clone(),
+            nodes[at].clone(),
+            history.clone(),
+            what,
+            job.clone(),
+        )));
+        tokio::time::sleep(Duration::from_millis(9)).await;
+    }
+    for one in all {
+        one.await.unwrap();
+    }
+    world.inner.lock().unwrap().lost_answers = 0.0;
+    let over = until(60.0, async || {
+        matches!(
+            ask(&nodes[2], &job.0).await,
+            Some(JobStatus::Done | JobStatus::Cancelled)
+        )
+    });
+    assert!(over.await, "{seed}: since {began}");
+    let history = history.lock().unwrap();
+    assert!(history.len() > 300, "{} answers", history.len());
+    assert_eq!(history.older_answers(), Vec::<String>::new(), "{seed}");
+    world.assert_rules();
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_nodes_are_asked_within_milliseconds_of_accept_end_and_cancel() {
+    for seed in 0..4 {
+        looked_at_closely(seed, 0.0, seed % 2 == 1, false).await;
+        looked_at_closely(seed, 0.0, seed % 2 == 0, true).await;
+    }
+}
+
+// A transaction is carried out at once and only its answer is lost, while other
+// nodes read what it wrote.
+#[tokio::test(start_paused = true)]
+async fn other_nodes_read_what_a_transaction_without_an_answer_wrote() {
+    for seed in 0..4 {
+        looked_at_closely(seed, 0.4, seed % 2 == 0, false).await;
+        looked_at_closely(seed, 0.4, seed % 2 == 1, true).await;
+    }
+}
+
+// A cancellation, a question or a repeated submission meets the end of the last
+// task, with no other trouble.
+#[tokio::test(start_paused = true)]
+async fn requests_meet_the_end_of_a_jobs_last_task() {
+    let (world, nodes, _tasks) = three().await;
+    let history = Arc::new(Mutex::new(History::default()));
+    let mut jobs = Vec::new();
+    for n in 1..=24u32 {
+        let job = world.job(n, 1, 1.0, 4.0);
+        accepted(&nodes[n as usize % 3], &job.1).await;
+        jobs.push(job.clone());
+        let ends = until(60.0, async || world.all_ended(&job.0, 1));
+        assert!(ends.await);
+        // From just after the end until well after it is on record.
+        tokio::time::sleep(Duration::from_millis(u64::from(n) * 37)).await;
+        let mut all = Vec::new();
+        for (at, what) in [Request::Cancel, Request::Ask, Request::Submit]
+            .into_iter()
+            .enumerate()
+        {
+            let node = nodes[(n as usize + at) % 3].clone();
+            let asks = request(world.clone(), node, history.clone(), what, job.clone());
+            all.push(tokio::spawn(asks));
+        }
+        for one in all {
+            one.await.unwrap();
+        }
+    }
+    for (id, _) in &jobs {
+        for node in &nodes {
+            let over = until(30.0, async || {
+                matches!(
+                    ask(node, id).await,
+                    Some(JobStatus::Done | JobStatus::Cancelled)
+                )
+            });
+            assert!(over.await, "{id}");
+        }
+    }
+    assert_eq!(
+        history.lock().unwrap().older_answers(),
+        Vec::<String>::new()
+    );
+    world.assert_rules();
+}
+
+// One-task jobs come four a second for minutes, a quarter of them cancelled: the
+// state service is changed for a job's submission and end, and otherwise by round.
+#[tokio::test(start_paused = true)]
+async fn one_task_jobs_come_four_a_second_and_a_quarter_is_cancelled() {
+    let (world, nodes, _tasks) = three().await;
+    let jobs: u32 = 600;
+    let mut cancelled = Vec::new();
+    for n in 1..=jobs {
+        let (id, body) = world.job(n, 1, 1.0, 2.0);
+        accepted(&nodes[n as usize % 3], &body).await;
+        if n % 4 == 0 {
+            let node = nodes[(n as usize + 1) % 3].clone();
+            let world = world.clone();
+            let wait = Duration::from_millis(u64::from(n) * 7 % 1900);
+            cancelled.push(tokio::spawn(async move {
+                tokio::time::sleep(wait).await;
+                let reply = users::cancel(&node, &id).await;
+                let told = status_of(&reply).expect("told");
+                if told == JobStatus::Cancelled {
+                    world.told_cancelled(&id);
+                }
+                told
+            }));
+        }
+        tokio::time::sleep(Duration::from_millis(240)).await;
+    }
+    let mut called_off = 0;
+    for one in cancelled {
+        called_off += usize::from(one.await.unwrap() == JobStatus::Cancelled);
+    }
+    assert!(called_off > 20, "{called_off}");
+    for n in 1..=jobs {
+        let id = format!("req-{n:06}");
+        let over = until(60.0, async || {
+            matches!(
+                ask(&nodes[1], &id).await,
+                Some(JobStatus::Done | JobStatus::Cancelled)
+            )
+        });
+        assert!(over.await, "{id}");
+    }
+    // A record set and removed, and one that stays, for each job.
+    assert_eq!(world.changes_of("o/"), jobs as usize * 2);
+    assert_eq!(world.changes_of("j/"), jobs as usize);
+    assert!(world.changes_of("f/") <= 2, "{}", world.changes_of("f/"));
+    let placements = world.changes_of("p/");
+    assert!(placements <= jobs as usize * 2, "{placements}");
+    world.assert_rules();
+}
+
+// Every interleaving of a cancellation with what the state service does to the node
+// that carries it out, and a look at another node.
+#[tokio::test(start_paused = true)]
+async fn a_cancelling_node_stands_still_around_its_write() {
+    for (answered, pause_s) in [(false, 3.0), (true, 3.0), (true, 12.0)] {
+        let (world, nodes, _tasks) = three().await;
+        let (id, body) = world.job(1, 2, 4.0, CANCEL_S * 4.0);
+        accepted(&nodes[0], &body).await;
+        assert!(until(60.0, async || world.running(&id) == 2).await);
+        let history = Arc::new(Mutex::new(History::default()));
+        world.inner.lock().unwrap().freeze_at = Some(StepAt {
+            node: "n-b".into(),
+            request: "POST /multi",
+            answered,
+        });
+        let job = (id.clone(), body.clone());
+        let canceller = tokio::spawn(request(
+            world.clone(),
+            nodes[1].clone(),
+            history.clone(),
+            Request::Cancel,
+            job.clone(),
+        ));
+        let until_s = world.now() + pause_s;
+        while world.now() < until_s {
+            for node in [&nodes[0], &nodes[2]] {
+                let asks = request(
+                    world.clone(),
+                    node.clone(),
+                    history.clone(),
+                    Request::Ask,
+                    job.clone(),
+                );
+                asks.await;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        world.thaw("n-b");
+        canceller.await.unwrap();
+        cancel(&world, &nodes[1], &id, 20.0).await;
+        tokio::time::sleep(Duration::from_secs_f64(CANCEL_S)).await;
+        assert_eq!(
+            history.lock().unwrap().older_answers(),
+            Vec::<String>::new()
+        );
+        world.assert_rules();
+    }
+}
--- /dev/null
+++ b/crates/tallygauge-world/tests/meetings_leaders.rs
@@ -0,0 +1,355 @@
+//! Meetings of troubles around a change of leader.
+
+use std::{sync::Arc, time::Duration};
+use tallygauge::{node::Node, users};
+use tallygauge_wire::users::JobStatus;
+use tallygauge_world::{
+    CANCEL_S, JobShape, LEASE_S, REPORT_S, StepAt, World, accepted, ask, cancel, done, leads, led,
+    started, status_of, until,
+};
+use tokio::task::JoinHandle;
+
+type Running = (Arc<Node>, JoinHandle<()>);
+
+/// Ends a controller as a crash does.
+fn crash(world: &World, (node, task): Running) {
+    task.abort();
+    world.forget_node(&node.settings.node_name);
+}
+
+/// Waits for a node to lead.
+async fn leading(node: &Arc<Node>) {
+    assert!(until(LEASE_S * 4.0, async || leads(node)).await);
+}
+
+async fn sleep(seconds: f64) {
+    tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+}
+
+/// Both teams at their limit with long tasks, two to a machine.
+async fn both_teams_at_their_limit(world: &World, node: &Arc<Node>) -> [String; 2] {
+    let mut ids = Vec::new();
+    for (number, team) in [(1, "t"), (2, "u")] {
+        let shape = JobShape {
+            tasks: 6,
+            cpus: 4.0,
+            run_s: CANCEL_S * 4.0,
+            team,
+            ..JobShape::default()
+        };
+        let (id, body) = world.job_of(number, shape);
+        accepted(node, &body).await;
+        ids.push(id);
+    }
+    let full = until(90.0, async || ids.iter().all(|id| world.running(id) == 4)).await;
+    assert!(full, "both teams run what their limit allows");
+    [ids[0].clone(), ids[1].clone()]
+}
+
+// Terms pass on every twelve seconds, also while nobody is served.
+#[tokio::test(start_paused = true)]
+async fn leaders_change_ten_times_in_two_minutes_also_inside_an_outage() {
+    for seed in 0..4u64 {
+        let (world, a, task) = led().await;
+        world.seed(seed);
+        let mut last: Running = (a, task);
+        let mut ids = Vec::new();
+        for turn in 0..10u32 {
+            let (id, body) = world.job(turn + 1, 3, 4.0, 6.0 + f64::from(turn) * 4.0);
+            let kept = tokio::time::timeout(Duration::from_secs(4), accepted(&last.0, &body));
+            if kept.await.is_ok() {
+                ids.push(id);
+            }
+            let down = turn % 4 == 2;
+            if down {
+                world.set_down(true);
+            }
+            sleep(1.0 + seed as f64).await;
+            crash(&world, last);
+            sleep(0.05 + 0.4 * seed as f64).await;
+            last = world.node(["n-a", "n-b", "n-c"][turn as usize % 3]);
+            sleep(6.0).await;
+            if down {
+                world.set_down(false);
+            }
+        }
+        assert!(ids.len() >= 6, "{}", ids.len());
+        for id in &ids {
+            assert!(done(&last.0, id).await, "{seed}: {id}");
+        }
+        world.assert_rules();
+    }
+}
+
+// Jobs are cancelled through other nodes while the leader ends and the next one
+// reads its state, at each of its steps.
+#[tokio::test(start_paused = true)]
+async fn jobs_are_cancelled_while_the_work_changes_hands() {
+    for wait_ms in [0u64, 40, 300, 1200, 2500, 4000] {
+        let (world, a, task) = led().await;
+        let (b, _tb) = world.node("n-b");
+        let (c, _tc) = world.node("n-c");
+        let mut ids = Vec::new();
+        for n in 1..=6 {
+            let (id, body) = world.job(n, 2, 1.0, CANCEL_S * 3.0);
+            accepted(&a, &body).await;
+            ids.push(id);
+        }
+        assert!(until(60.0, async || started(&world) == 12).await);
+        crash(&world, (a, task));
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        for (n, id) in ids[..5].iter().enumerate() {
+            cancel(&world, [&b, &c][n % 2], id, 10.0).await;
+            tokio::time::sleep(Duration::from_millis(wait_ms / 4)).await;
+        }
+        sleep(CANCEL_S + 1.0).await;
+        for id in &ids[..5] {
+            assert_eq!(world.running(id), 0, "{wait_ms}: {id}");
+        }
+        assert!(done(&b, &ids[5]).await);
+        assert_eq!(started(&world), 12, "nothing starts again");
+        world.assert_rules();
+    }
+}
+
+// Copies of all reports since the machines began, of sessions that were and that
+// are, come to every controller before the next term is won, before the leader has
+// read the state, and right after.
+#[tokio::test(start_paused = true)]
+async fn old_reports_reach_every_controller_just_as_a_leader_begins() {
+    for moment in ["before the term", "before the state is read", "after"] {
+        let (world, a, task) = led().await;
+        world.inner.lock().unwrap().keep_reports = true;
+        let (id, body) = world.job(1, 4, 4.0, LEASE_S * 4.0);
+        accepted(&a, &body).await;
+        assert!(until(60.0, async || world.running(&id) == 4).await);
+        // One machine's session ends, and its task runs elsewhere or again.
+        let machine = world.inner.lock().unwrap().starts[0].2.clone();
+        world.silence(&machine, true);
+        sleep(LEASE_S * 1.5).await;
+        world.silence(&machine, false);
+        assert!(until(LEASE_S * 4.0, async || world.running(&id) == 4).await);
+        world.inner.lock().unwrap().keep_reports = false;
+        let (b, _tb) = world.node("n-b");
+        sleep(1.0).await;
+        if moment == "before the state is read" {
+            world.inner.lock().unwrap().freeze_at = Some(StepAt {
+                node: "n-b".into(),
+                request: "GET /store?starts=p/",
+                answered: false,
+            });
+        }
+        crash(&world, (a, task));
+        match moment {
+            "before the term" => assert!(world.bring_kept() > 10),
+            "before the state is read" => {
+                assert!(until(LEASE_S, async || world.is_frozen("n-b")).await);
+                // It stands before its listing; its workers' calls are served.
+                world.thaw("n-b");
+                assert!(world.bring_kept() > 10);
+            }
+            _ => {
+                leading(&b).await;
+                assert!(world.bring_kept() > 10);
+            }
+        }
+        leading(&b).await;
+        assert!(done(&b, &id).await, "{moment}");
+        world.assert_rules();
+    }
+}
+
+// A report is held back until a new leader has acted on what it read, and then
+// arrives there: it names tasks that ended or were cancelled since, and lacks what
+// was started.
+#[tokio::test(start_paused = true)]
+async fn a_report_is_held_back_until_a_new_leader_has_acted() {
+    for wait_s in [0.5, 3.0, LEASE_S, LEASE_S * 2.0] {
+        let (world, a, task) = led().await;
+        let (first, body) = world.job(1, 2, 8.0, 5.0);
+        accepted(&a, &body).await;
+        assert!(until(60.0, async || world.running(&first) == 2).await);
+        world.inner.lock().unwrap().keep_reports = true;
+        sleep(REPORT_S * 3.0).await;
+        world.inner.lock().unwrap().keep_reports = false;
+        let (second, body) = world.job(2, 2, 8.0, LEASE_S * 3.0);
+        accepted(&a, &body).await;
+        crash(&world, (a, task));
+        let (b, _tb) = world.node("n-b");
+        leading(&b).await;
+        sleep(wait_s).await;
+        assert!(world.bring_kept() > 0);
+        for id in [&first, &second] {
+            assert!(done(&b, id).await, "{wait_s}");
+        }
+        assert_eq!(started(&world), 4, "none runs again");
+        world.assert_rules();
+    }
+}
+
+// Direct messages of a leader that stood still, or has ended, arrive after those of
+// the next one.
+#[tokio::test(start_paused = true)]
+async fn commands_of_a_leader_that_was_deposed_arrive_after_the_next_ones() {
+    for seed in 0..8u64 {
+        let (world, a, task) = led().await;
+        world.seed(seed);
+        let (b, _tb) = world.node("n-b");
+        let (first, body) = world.job(1, 4, 2.0, 12.0);
+        accepted(&a, &body).await;
+        assert!(until(60.0, async || !world.up().is_empty()).await);
+        world.inner.lock().unwrap().holding = (0.8, LEASE_S * 1.4);
+        let (second, body) = world.job(2, 4, 2.0, 20.0);
+        accepted(&a, &body).await;
+        let (third, body) = world.job(3, 2, 2.0, 60.0);
+        accepted(&a, &body).await;
+        sleep(0.4 + 0.3 * seed as f64).await;
+        let stands = seed % 2 == 0;
+        if stands {
+            world.freeze("n-a");
+        } else {
+            crash(&world, (a.clone(), task));
+        }
+        leading(&b).await;
+        cancel(&world, &b, &third, 20.0).await;
+        sleep(LEASE_S * 0.5).await;
+        if stands {
+            world.thaw("n-a");
+        }
+        sleep(CANCEL_S + 1.0).await;
+        world.inner.lock().unwrap().holding = (0.0, 0.0);
+        assert_eq!(world.running(&third), 0);
+        for id in [&first, &second] {
+            assert!(done(&b, id).await, "{seed}");
+        }
+        world.assert_rules();
+    }
+}
+
+// Teams at their limit, some machines that can't be asked or hang, jobs of both
+// teams cancelled, and the leader ends: what is held counts until it is surely gone.
+#[tokio::test(start_paused = true)]
+async fn every_team_is_at_its_limit_while_jobs_are_cancelled_and_the_leader_changes() {
+    for (hangs, early) in [(false, false), (false, true), (true, false), (true, true)] {
+        let (world, a, task) = led().await;
+        let (b, _tb) = world.node("n-b");
+        let ids = both_teams_at_their_limit(&world, &a).await;
+        let machines = world.up();
+        let some: Vec<&String> = machines.iter().step_by(2).collect();
+        let unreachable = |on: bool| {
+            for machine in &some {
+                if hangs {
+                    world.hang(machine, on);
+                } else {
+                    world.silence(machine, on);
+                }
+            }
+        };
+        unreachable(true);
+        let (third, body) = world.job(3, 4, 4.0, 5.0);
+        accepted(&b, &body).await;
+        if early {
+            crash(&world, (a, task));
+            cancel(&world, &b, &ids[0], 20.0).await;
+            cancel(&world, &b, &ids[1], 20.0).await;
+        } else {
+            cancel(&world, &b, &ids[0], 20.0).await;
+            sleep(0.3).await;
+            crash(&world, (a, task));
+            cancel(&world, &b, &ids[1], 20.0).await;
+        }
+        leading(&b).await;
+        sleep(LEASE_S * 0.7).await;
+        unreachable(false);
+        sleep(CANCEL_S + 1.0).await;
+        for id in &ids {
+            assert_eq!(world.running(id), 0, "hangs {hangs}, early {early}");
+        }
+        assert!(done(&b, &third).await, "hangs {hangs}, early {early}");
+        world.assert_rules();
+    }
+}
+
+// Longer than a lease nobody leads: sessions end, and what ran begins again, once.
+#[tokio::test(start_paused = true)]
+async fn all_controllers_are_away_for_longer_than_a_lease() {
+    for away_s in [LEASE_S * 1.2, LEASE_S * 4.0] {
+        let (world, a, task) = led().await;
+        let ids = both_teams_at_their_limit(&world, &a).await;
+        crash(&world, (a, task));
+        sleep(away_s).await;
+        assert_eq!(world.running(&ids[0]), 0, "their sessions ended");
+        let (b, _tb) = world.node("n-b");
+        let (c, _tc) = world.node("n-c");
+        cancel(&world, &c, &ids[1], LEASE_S * 3.0).await;
+        assert!(done(&b, &ids[0]).await);
+        assert_eq!(ask(&b, &ids[1]).await, Some(JobStatus::Cancelled));
+        world.assert_rules();
+    }
+}
+
+// A zone with workers and the leader is cut off for longer than a lease: in there
+// work goes on until the leader fences itself, and is not started elsewhere sooner.
+#[tokio::test(start_paused = true)]
+async fn a_zone_with_workers_and_the_leader_is_cut_off_for_longer_than_a_lease() {
+    for cut_s in [LEASE_S * 1.5, LEASE_S * 4.0] {
+        let (world, a, _ta) = led().await;
+        let (b, _tb) = world.node("n-b");
+        let ids = both_teams_at_their_limit(&world, &a).await;
+        let machines = world.up();
+        {
+            let mut inner = world.inner.lock().unwrap();
+            inner.cut.insert("n-a".into());
+            for (n, machine) in machines.iter().enumerate() {
+                let node = if n % 2 == 0 { "n-a" } else { "n-b" };
+                inner.apart.insert(machine.clone(), node.into());
+            }
+        }
+        leading(&b).await;
+        cancel(&world, &b, &ids[0], 10.0).await;
+        sleep(cut_s).await;
+        {
+            let mut inner = world.inner.lock().unwrap();
+            inner.cut.clear();
+            inner.apart.clear();
+        }
+        sleep(CANCEL_S).await;
+        assert_eq!(world.running(&ids[0]), 0);
+        assert!(done(&b, &ids[1]).await, "{cut_s}");
+        world.assert_rules();
+    }
+}
+
+// The state service answers slowly, then refuses the leader alone, then everybody
+// for longer than a cancellation has, while users cancel and ask.
+#[tokio::test(start_paused = true)]
+async fn the_state_service_is_slow_then_refuses_the_leader_and_then_everybody() {
+    for link_s in [0.1, 0.3, 0.7] {
+        let (world, a, _ta) = led().await;
+        let (b, _tb) = world.node("n-b");
+        let ids = both_teams_at_their_limit(&world, &a).await;
+        world.inner.lock().unwrap().link_s = link_s;
+        sleep(LEASE_S * 0.5).await;
+        world.refuse("n-a", true);
+        cancel(&world, &b, &ids[0], 20.0).await;
+        world.set_down(true);
+        for _ in 0..30 {
+            for node in [&a, &b] {
+                let reply = users::cancel(node, &ids[1]).await;
+                let told = status_of(&reply);
+                assert!(told.is_none(), "nobody can say so: {told:?}");
+                let told = ask(node, &ids[0]).await;
+                assert!(matches!(told, None | Some(JobStatus::Cancelled)));
+            }
+            sleep(CANCEL_S / 20.0).await;
+        }
+        assert_eq!(world.running(&ids[0]), 0);
+        world.set_down(false);
+        world.refuse("n-a", false);
+        world.inner.lock().unwrap().link_s = 0.003;
+        cancel(&world, &a, &ids[1], 30.0).await;
+        sleep(CANCEL_S + 1.0).await;
+        assert_eq!(world.running(&ids[1]), 0);
+        world.assert_rules();
+    }
+}
--- /dev/null
+++ b/crates/tallygauge-world/tests/meetings_machines.rs
@@ -0,0 +1,218 @@
+//! Meetings of troubles of machines, and of the writes that place work on them.
+
+use std::time::Duration;
+use tallygauge_world::{
+    CANCEL_S, JobShape, LEASE_S, REPORT_S, accepted, cancel, done, leads, led, started, until,
+};
+
+async fn sleep(seconds: f64) {
+    tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+}
+
+// One lost answer kept the leader from placing anything: rounds, time-outs and
+// clean-up waited for it. Now a batch in doubt holds its own tasks and nothing else.
+#[tokio::test(start_paused = true)]
+async fn a_batch_in_doubt_holds_up_no_other() {
+    let (world, a, _ta) = led().await;
+    let (first, body) = world.job(1, 2, 2.0, 5.0);
+    accepted(&a, &body).await;
+    assert!(done(&a, &first).await);
+    // Of the next round's batch neither this nor that copy is executed.
+    world.inner.lock().unwrap().hang_writes = Some("p/1-2");
+    let (second, body) = world.job(2, 2, 4.0, 5.0);
+    accepted(&a, &body).await;
+    let in_doubt = until(LEASE_S, async || a.state.in_doubt().0 > 0);
+    assert!(in_doubt.await);
+    let (third, body) = world.job(3, 2, 2.0, 5.0);
+    accepted(&a, &body).await;
+    let before = world.now();
+    assert!(done(&a, &third).await);
+    assert!(world.now() - before < LEASE_S, "it waits for the other");
+    assert_eq!(world.running(&second), 0);
+    let (count, since) = a.state.in_doubt();
+    assert!(count == 1 && since.as_secs_f64() > 5.0, "{count} {since:?}");
+    world.inner.lock().unwrap().hang_writes = None;
+    assert!(done(&a, &second).await);
+    assert_eq!(started(&world), 6, "nothing is placed twice");
+    world.assert_rules();
+}
+
+// The same with two answers in five lost, and a crash of the leader meanwhile.
+#[tokio::test(start_paused = true)]
+async fn work_goes_on_while_two_answers_in_five_are_lost() {
+    for seed in 0..6 {
+        let (world, _a, task) = led().await;
+        world.seed(seed);
+        let (b, _tb) = world.node("n-b");
+        world.inner.lock().unwrap().lost_answers = 0.4;
+        let mut ids = Vec::new();
+        for n in 1..=20 {
+            let (id, body) = world.job(n, 2, 2.0, 2.0);
+            accepted(&b, &body).await;
+            ids.push(id);
+            sleep(0.5).await;
+        }
+        task.abort();
+        world.forget_node("n-a");
+        let began = world.now();
+        for id in &ids {
+            assert!(done(&b, id).await, "{seed}: {id}");
+        }
+        let took = world.now() - began;
+        assert!(took < LEASE_S * 6.0, "{seed}: {took:.0} s");
+        world.assert_rules();
+    }
+}
+
+// Workers that can't open connections to any controller, for less and for more than
+// a lease, while direct commands still reach them.
+#[tokio::test(start_paused = true)]
+async fn workers_reach_no_controller_while_direct_commands_reach_them() {
+    for (mute_s, crashes) in [
+        (LEASE_S * 0.6, true),
+        (LEASE_S * 3.0, false),
+        (LEASE_S * 3.0, true),
+    ] {
+        let (world, a, task) = led().await;
+        let (b, _tb) = world.node("n-b");
+        let (first, body) = world.job(1, 2, 4.0, LEASE_S * 5.0);
+        accepted(&a, &body).await;
+        let (second, body) = world.job(2, 2, 4.0, LEASE_S * 9.0);
+        accepted(&a, &body).await;
+        assert!(until(60.0, async || started(&world) == 4).await);
+        let machines = world.up();
+        machines.iter().for_each(|m| world.mute(m, true));
+        sleep(REPORT_S * 2.0).await;
+        if crashes {
+            task.abort();
+            world.forget_node("n-a");
+            assert!(until(LEASE_S * 2.0, async || leads(&b)).await);
+        }
+        cancel(&world, &b, &second, 20.0).await;
+        sleep(mute_s).await;
+        machines.iter().for_each(|m| world.mute(m, false));
+        assert!(done(&b, &first).await, "{mute_s} {crashes}");
+        sleep(CANCEL_S).await;
+        assert_eq!(world.running(&second), 0);
+        world.assert_rules();
+    }
+}
+
+// Jobs bound to one zone, by name or by wish, lose machines there.
+#[tokio::test(start_paused = true)]
+async fn jobs_bound_to_one_zone_lose_machines() {
+    for seed in 0..6usize {
+        let (world, a, task) = led().await;
+        world.inner.lock().unwrap().zones = vec!["a", "b"];
+        let (b, _tb) = world.node("n-b");
+        // The catalogue with both zones is read now and then.
+        sleep(LEASE_S * 2.0).await;
+        let mut ids = Vec::new();
+        for (number, zone, one_zone) in [
+            (1, Some("b"), false),
+            (2, None, true),
+            (3, Some("a"), true),
+            (4, None, true),
+        ] {
+            let shape = JobShape {
+                tasks: 4,
+                cpus: 2.0,
+                run_s: 15.0,
+                team: if number % 2 == 0 { "t" } else { "u" },
+                zone,
+                one_zone,
+                ..JobShape::default()
+            };
+            let (id, body) = world.job_of(number, shape);
+            accepted(&a, &body).await;
+            ids.push(id);
+        }
+        assert!(until(90.0, async || started(&world) >= 8).await);
+        let machines = world.up();
+        for (n, machine) in machines.iter().enumerate() {
+            match (n + seed) % 3 {
+                0 => world.destroy(machine),
+                1 => world.silence(machine, true),
+                _ => {}
+            }
+        }
+        if seed % 2 == 0 {
+            task.abort();
+            world.forget_node("n-a");
+        }
+        sleep(LEASE_S * 0.5 * seed as f64).await;
+        for machine in world.up() {
+            world.silence(&machine, false);
+        }
+        for id in &ids {
+            assert!(done(&b, id).await, "{seed}: {id}");
+        }
+        world.assert_rules();
+    }
+}
+
+// More work than room, urgent and not, while each message takes a quarter of a second
+// each way: all is done in the end, and the urgent first.
+#[tokio::test(start_paused = true)]
+async fn more_work_than_room_over_slow_links() {
+    let (world, a, _ta) = led().await;
+    let (b, _tb) = world.node("n-b");
+    world.inner.lock().unwrap().link_s = 0.25;
+    let mut ids = Vec::new();
+    for number in 1..=24 {
+        let urgent = number > 16;
+        let shape = JobShape {
+            tasks: 4,
+            cpus: 4.0,
+            run_s: 4.0,
+            urgency: if urgent { "urgent" } else { "low" },
+            team: if number % 2 == 0 { "t" } else { "u" },
+            ..JobShape::default()
+        };
+        let (id, body) = world.job_of(number, shape);
+        accepted([&a, &b][number as usize % 2], &body).await;
+        ids.push(id);
+    }
+    let urgent_done = until(LEASE_S * 30.0, async || {
+        ids[16..].iter().all(|id| world.all_ended(id, 4))
+    });
+    assert!(urgent_done.await);
+    let others = ids[..16].iter().filter(|id| !world.all_ended(id, 4));
+    assert!(others.count() >= 4, "urgent work goes first");
+    for id in &ids {
+        assert!(done(&b, id).await, "{id}");
+    }
+    world.assert_rules();
+}
+
+// New machines are up before they are listed or their booking is answered, and get
+// work at once while writes lag, and the leader ends: whoever leads next hears of
+// them first from themselves.
+#[tokio::test(start_paused = true)]
+async fn new_machines_get_work_at_once_while_writes_lag_and_the_leader_ends() {
+    for seed in 0..8u64 {
+        let (world, _a, task) = led().await;
+        world.seed(seed);
+        let (b, _tb) = world.node("n-b");
+        {
+            let mut inner = world.inner.lock().unwrap();
+            inner.boot_s = 0.1;
+            inner.late_writes = 0.4;
+        }
+        let mut ids = Vec::new();
+        for n in 1..=6 {
+            let (id, body) = world.job(n, 3, 2.0, 4.0 + f64::from(n));
+            accepted(&b, &body).await;
+            ids.push(id);
+        }
+        sleep(0.3 * seed as f64).await;
+        task.abort();
+        world.forget_node("n-a");
+        sleep(LEASE_S).await;
+        world.inner.lock().unwrap().late_writes = 0.0;
+        for id in &ids {
+            assert!(done(&b, id).await, "{seed}: {id}");
+        }
+        world.assert_rules();
+    }
+}
