--- a/crates/tallygauge-sim/src/command_execution.rs
+++ b/crates/tallygauge-sim/src/command_execution.rs
@@ -1,7 +1,7 @@
 //! Execution of commands by simulated workers, and the invariant checks at every task start.
 
 use crate::{
-    SimState, TaskStart,
+    CANCEL_TIMEOUT_S, SimState, TaskStart,
     machines::{SimTask, SimWorker, TaskState, job_of_task},
 };
 use tallygauge_protocol::workers::Command;
@@ -29,6 +29,7 @@
             return;
         }
         self.check_single_start(now, worker, task, attempt);
+        self.check_not_cancelled(now, task, attempt);
         tracing::debug!(task, attempt, worker, "started task");
         self.starts.push(TaskStart {
             started_at: now,
@@ -83,6 +84,17 @@
         }
     }
 
+    /// Records a violation if the attempt starts more than [`CANCEL_TIMEOUT_S`] after a user
+    /// was told that its job is cancelled, however soon it is stopped again.
+    fn check_not_cancelled(&mut self, now: f64, task: &str, attempt: u64) {
+        let cancelled_at = self.cancelled_at.get(job_of_task(task));
+        if cancelled_at.is_some_and(|at| now - at > CANCEL_TIMEOUT_S) {
+            self.violations.push(format!(
+                "{now:.1}: {task} (attempt {attempt}) starts after its cancellation"
+            ));
+        }
+    }
+
     /// Records a violation if the job does not allow the zone of the started task, or if the
     /// job must run in one zone and already runs in another.
     fn check_zone(&mut self, now: f64, task: &str, worker: &str) {
--- a/crates/tallygauge-sim/src/fault_settings.rs
+++ b/crates/tallygauge-sim/src/fault_settings.rs
@@ -1,7 +1,7 @@
 //! Settings of the faults to inject, with their probabilities and delays.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     task::Waker,
 };
 
@@ -104,6 +104,11 @@
     pub exclusive_links: HashMap<String, String>,
     /// Probability and delay with which direct commands are delivered late.
     pub delayed_commands: RandomDelay,
+    /// Machines to which direct commands are held in transit, by name, and the simulated time
+    /// in seconds until which they are held. Heartbeats are answered meanwhile.
+    pub commands_held_until: BTreeMap<String, f64>,
+    /// Whether the cloud answers all requests with status 503.
+    pub cloud_down: bool,
     /// Probability and delay with which a duplicate of a heartbeat is delivered to every
     /// controller.
     pub duplicated_heartbeats: RandomDelay,
@@ -134,6 +139,8 @@
             link_delay_s: DEFAULT_LINK_DELAY_S,
             exclusive_links: HashMap::new(),
             delayed_commands: RandomDelay::NONE,
+            commands_held_until: BTreeMap::new(),
+            cloud_down: false,
             duplicated_heartbeats: RandomDelay::NONE,
             capture_heartbeats: false,
             pause_at: None,
--- a/crates/tallygauge-sim/src/faults.rs
+++ b/crates/tallygauge-sim/src/faults.rs
@@ -231,6 +231,26 @@
         self.change_worker(machine, |worker| worker.partitioned = partitioned);
     }
 
+    /// Holds direct commands to a machine in transit for this number of seconds from now on.
+    pub fn hold_commands(&self, machine: &str, seconds: f64) {
+        let held_until = self.now() + seconds;
+        self.set_faults(|faults| {
+            faults
+                .commands_held_until
+                .insert(machine.to_string(), held_until);
+        });
+    }
+
+    /// Number of held or delayed start commands for tasks of a job.
+    pub fn undelivered_starts(&self, job: &str) -> usize {
+        let state = self.state.lock().unwrap();
+        let messages = state.delayed_commands.iter();
+        messages
+            .flat_map(|commands| commands.decode().commands)
+            .filter(|command| matches!(command, Command::Start { task, .. } if job_of_task(task) == job))
+            .count()
+    }
+
     /// Hangs a machine, or ends the hang. While it hangs, its tasks make no progress and
     /// direct commands to it are delayed until the hang ends.
     pub fn set_hung(&self, machine: &str, hung: bool) {
--- a/crates/tallygauge-sim/src/lib.rs
+++ b/crates/tallygauge-sim/src/lib.rs
@@ -7,7 +7,7 @@
 //! - a task runs twice at the same time;
 //! - a team exceeds its quota;
 //! - a task runs in a zone that its job does not allow;
-//! - a cancelled task keeps running;
+//! - a cancelled task keeps running, or starts, after the cancel timeout;
 //! - a name (of an attempt, a rental request or a placement batch) is reused.
 //!
 //! Faults:
@@ -16,7 +16,9 @@
 //! - transactions: no response, with some of them executed late;
 //! - workers: partitioned in both directions or in one, hung, or restarted;
 //! - messages: heartbeats that are delivered twice and late, direct commands that are
-//!   delivered late.
+//!   delivered late, or held in transit to one machine;
+//! - the cloud: unavailable;
+//! - jobs: their tasks fail on every machine.
 
 #![allow(
     clippy::unwrap_used,
--- a/crates/tallygauge-sim/src/state.rs
+++ b/crates/tallygauge-sim/src/state.rs
@@ -7,6 +7,7 @@
 };
 use rand::{SeedableRng, rngs::StdRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use tallygauge_protocol::workers::DirectCommands;
 
 /// Default boot time of a machine, in seconds.
 const DEFAULT_BOOT_TIME_S: f64 = 2.0;
@@ -49,6 +50,13 @@
     pub(crate) message: DelayedMessage,
 }
 
+impl DelayedCommands {
+    /// The request that carries the commands, decoded.
+    pub(crate) fn decode(&self) -> DirectCommands {
+        serde_json::from_slice(&self.message.body).unwrap()
+    }
+}
+
 /// State of the simulated store, cloud, workers and users, and of the checkers.
 pub struct SimState {
     /// Active faults, which tests set.
--- a/crates/tallygauge-sim/src/users.rs
+++ b/crates/tallygauge-sim/src/users.rs
@@ -29,6 +29,8 @@
     pub zone: Option<&'static str>,
     /// Whether all tasks must run in one zone.
     pub one_zone: bool,
+    /// Whether each attempt fails at the end of its run time, on every machine.
+    pub fails: bool,
 }
 
 /// The request with which a user submits a job.
@@ -50,6 +52,7 @@
             priority: "normal",
             zone: None,
             one_zone: false,
+            fails: false,
         }
     }
 }
--- a/crates/tallygauge-sim/src/worker_agent.rs
+++ b/crates/tallygauge-sim/src/worker_agent.rs
@@ -100,6 +100,9 @@
             let is_delayed = state.draw_occurrence(delays.probability);
             if !state.has_link(worker, controller) {
                 None
+            } else if let Some(held_until) = state.commands_held_until(now, worker) {
+                state.delay_commands(worker, held_until, body.to_vec());
+                None
             } else if is_delayed || state.is_hung(worker) {
                 let delay_s = if is_delayed {
                     state
@@ -228,6 +231,12 @@
         });
     }
 
+    /// Until when direct commands to a worker are held; `None` if they are delivered.
+    fn commands_held_until(&self, now: f64, worker: &str) -> Option<f64> {
+        let held_until = self.faults.commands_held_until.get(worker).copied();
+        held_until.filter(|until| *until > now)
+    }
+
     /// Whether a worker's machine is hung.
     fn is_hung(&self, worker: &str) -> bool {
         self.workers
--- /dev/null
+++ b/crates/tallygauge-sim/tests/unconfirmed_cancellation.rs
@@ -0,0 +1,89 @@
+//! Cancellations that a machine cannot confirm, because the start of a cancelled task is
+//! still in transit to it.
+
+use std::sync::Arc;
+use tallygauge::controller::Controller;
+use tallygauge_sim::{
+    CANCEL_TIMEOUT_S, HEARTBEAT_INTERVAL_S, JobShape, Simulation, cancel_until_confirmed,
+    eventually, is_active_leader, sleep_s, submit_job, submit_job_with_shape, wait_until_done,
+};
+
+/// How long direct commands are held: until well after the cancel timeout.
+const HOLD_S: f64 = CANCEL_TIMEOUT_S * 1.5;
+
+/// Number of the first failing job.
+const FIRST_FAILING_JOB: u32 = 10;
+
+/// A cluster with one booted machine and a leader that knows it.
+async fn start_with_one_machine() -> (Arc<Simulation>, Arc<Controller>, String) {
+    let simulation = Simulation::new();
+    let state = simulation.state.lock();
+    state.expect("state is not poisoned").add_booted_machines(1);
+    let machine = simulation.booted_machines().remove(0);
+    tokio::spawn(simulation.clone().run_workers());
+    let (controller, _task) = simulation.start_controller("n-a");
+    assert!(eventually(30.0, async || is_active_leader(&controller)).await);
+    sleep_s(HEARTBEAT_INTERVAL_S * 3.0).await;
+    (simulation, controller, machine)
+}
+
+/// Starts jobs that fail on every machine, one after the other.
+async fn submit_failing_jobs(simulation: &Simulation, controller: &Arc<Controller>, count: u32) {
+    for number in 0..count {
+        let shape = JobShape {
+            run_s: 3.0 + f64::from(number),
+            fails: true,
+            ..JobShape::default()
+        };
+        submit_job_with_shape(simulation, controller, FIRST_FAILING_JOB + number, shape).await;
+    }
+    sleep_s(HEARTBEAT_INTERVAL_S).await;
+}
+
+/// Submits a job whose start is held in transit to the only machine, and cancels it at once.
+async fn cancel_job_with_held_start(
+    simulation: &Simulation,
+    controller: &Arc<Controller>,
+    machine: &str,
+) -> String {
+    simulation.hold_commands(machine, HOLD_S);
+    let id = submit_job(simulation, controller, 1, 2, 1.0, 100.0).await;
+    let is_held = eventually(HEARTBEAT_INTERVAL_S, async || {
+        simulation.undelivered_starts(&id) == 2
+    });
+    assert!(is_held.await, "no start of the job is in transit");
+    cancel_until_confirmed(simulation, controller, &id, 1.0).await;
+    assert_eq!(simulation.running_task_count(&id), 0);
+    id
+}
+
+#[tokio::test(start_paused = true)]
+async fn held_start_of_cancelled_task_does_not_run_on_machine_returned_as_unconfirmed() {
+    let (simulation, controller, machine) = start_with_one_machine().await;
+    cancel_job_with_held_start(&simulation, &controller, &machine).await;
+    sleep_s(HOLD_S + HEARTBEAT_INTERVAL_S).await;
+    assert!(!simulation.booted_machines().contains(&machine));
+    submit_job(&simulation, &controller, 2, 1, 1.0, 1.0).await;
+    sleep_s(HEARTBEAT_INTERVAL_S * 10.0).await;
+    simulation.assert_invariants();
+}
+
+#[tokio::test(start_paused = true)]
+async fn held_start_of_cancelled_task_does_not_run_on_machine_already_decided_as_faulty() {
+    let (simulation, controller, machine) = start_with_one_machine().await;
+    submit_failing_jobs(&simulation, &controller, 2).await;
+    cancel_job_with_held_start(&simulation, &controller, &machine).await;
+    sleep_s(HOLD_S + HEARTBEAT_INTERVAL_S).await;
+    simulation.assert_invariants();
+}
+
+#[tokio::test(start_paused = true)]
+async fn held_start_of_cancelled_task_does_not_run_while_the_cloud_refuses_returns() {
+    let (simulation, controller, machine) = start_with_one_machine().await;
+    let earlier = submit_job(&simulation, &controller, 2, 1, 1.0, 1.0).await;
+    assert!(wait_until_done(&controller, &earlier).await);
+    cancel_job_with_held_start(&simulation, &controller, &machine).await;
+    simulation.set_faults(|faults| faults.cloud_down = true);
+    sleep_s(HOLD_S + HEARTBEAT_INTERVAL_S).await;
+    simulation.assert_invariants();
+}
