Log on which knowledge starts, stops, answers and returns were allowed

Cause: the records of the late start of a cancelled task did not tell which direct commands were sent, answered or given up, what the leader had read from the store and when, why heartbeats were answered, nor that a return had been decided: of two machines in the same state only one had its line.

Change: every return decision is an event, a failed return a line at info. At debug: a direct message with its attempts and its outcome, changes read by the watch with the age of the request, a committed cancellation with its revision, the attempts that an ended job leaves with those whose start may still arrive, refused heartbeats with the reason. The summary has the term, the age of the watch, unconfirmed cancellations, indeterminate starts and pending returns with their ages.

--- a/crates/tallygauge-scheduler/src/cluster_state.rs
+++ b/crates/tallygauge-scheduler/src/cluster_state.rs
@@ -215,24 +215,39 @@
         self.jobs_with_unsaved_progress.remove(id);
         self.completion_pages
             .remove_job(id, job.spec.tasks.div_ceil(self.tasks_per_chunk));
+        self.stop_attempts_of_ended_job(&job, now);
+        true
+    }
+
+    /// Decides to stop the attempts of a job that has ended.
+    fn stop_attempts_of_ended_job(&mut self, job: &Job, now: f64) {
+        let mut stopped = 0;
+        let mut undelivered_starts = Vec::new();
         for machine in job.attempts_by_worker.keys() {
             let Some(worker) = self.workers.get_mut(machine) else {
                 continue;
             };
             self.needs_direct_message.insert(machine.clone());
-            for attempt in worker
-                .attempts
-                .iter_mut()
-                .filter(|attempt| attempt.spec.id == id)
-            {
+            let attempts = worker.attempts.iter_mut();
+            for attempt in attempts.filter(|attempt| attempt.spec.id == job.spec.id) {
                 if attempt.is_ended() {
                     attempt.end_durable = true;
-                } else {
-                    attempt.request_stop(StopReason::Cancelled, now);
+                    continue;
+                }
+                attempt.request_stop(StopReason::Cancelled, now);
+                stopped += 1;
+                if attempt.may_yet_start() {
+                    undelivered_starts.push(attempt.number);
                 }
             }
         }
-        true
+        if stopped > 0 {
+            self.events.push(ClusterEvent::StoppingEndedJob {
+                job: job.spec.id.clone(),
+                attempts: stopped,
+                undelivered_starts,
+            });
+        }
     }
 
     /// Numbers of completed and placed tasks of an open job, for display.
--- a/crates/tallygauge-scheduler/src/events.rs
+++ b/crates/tallygauge-scheduler/src/events.rs
@@ -36,6 +36,15 @@
         /// Why the machine is returned.
         reason: ReturnReason,
     },
+    /// A job has ended, and its attempts that have not ended are to be stopped.
+    StoppingEndedJob {
+        /// Id of the job.
+        job: String,
+        /// Number of attempts to be stopped.
+        attempts: usize,
+        /// Numbers of those among them whose start may still arrive at their workers.
+        undelivered_starts: Vec<u64>,
+    },
     /// An attempt was lost because its agent incarnation has ended.
     AttemptLost {
         /// Name of the task, `JOB/INDEX`.
--- a/crates/tallygauge-scheduler/src/machines.rs
+++ b/crates/tallygauge-scheduler/src/machines.rs
@@ -1,7 +1,7 @@
 //! Machines: registration, expiry of worker leases, and the decision to return a
 //! machine to the cloud.
 
-use crate::{cluster_state::ClusterState, events::ClusterEvent, model::*};
+use crate::{cluster_state::ClusterState, model::*};
 use std::collections::{BTreeSet, HashMap};
 use tallygauge_protocol::{
     cloud::{Machine, MachineState},
@@ -122,7 +122,7 @@
                 worker.booted_at.get_or_insert(now);
             }
             if machine.state == MachineState::Failed
-                && worker.decide_return(ReturnReason::Failed, now)
+                && worker.decide_return(ReturnReason::Failed, now, &mut self.events)
             {
                 worker.last_dead_incarnation = worker.last_dead_incarnation.max(worker.incarnation);
                 self.end_incarnation(&machine.name, u64::MAX, now);
@@ -262,13 +262,8 @@
         let Some(worker) = self.workers.get_mut(machine) else {
             return;
         };
-        if let Some(reason) = reason
-            && worker.decide_return(reason, now)
-        {
-            self.events.push(ClusterEvent::MachineReturnDecided {
-                machine: machine.to_string(),
-                reason,
-            });
+        if let Some(reason) = reason {
+            worker.decide_return(reason, now, &mut self.events);
         }
         self.needs_direct_message.insert(machine.to_string());
         let (reclaimed_at, return_decision) = (worker.spot_reclaim_at, worker.return_decision);
--- a/crates/tallygauge-scheduler/src/model/worker.rs
+++ b/crates/tallygauge-scheduler/src/model/worker.rs
@@ -1,6 +1,7 @@
 //! Machines with their workers: attempts, state of the agent's messages, and images.
 
 use super::*;
+use crate::events::ClusterEvent;
 use std::collections::{BTreeMap, BTreeSet};
 use tallygauge_health::{MessageOrder, Reachability};
 use tallygauge_protocol::{cloud::MachineType, users::JobSpec};
@@ -201,12 +202,21 @@
     }
 
     /// Decides to return the machine, unless that was decided before. Returns whether
-    /// the decision is new.
-    pub(crate) fn decide_return(&mut self, reason: ReturnReason, now: f64) -> bool {
+    /// the decision is new; a new one is added to `events`.
+    pub(crate) fn decide_return(
+        &mut self,
+        reason: ReturnReason,
+        now: f64,
+        events: &mut Vec<ClusterEvent>,
+    ) -> bool {
         if self.return_decision.is_some() {
             return false;
         }
         self.return_decision = Some(ReturnDecision { reason, at: now });
+        events.push(ClusterEvent::MachineReturnDecided {
+            machine: self.name.clone(),
+            reason,
+        });
         true
     }
 
--- a/crates/tallygauge-scheduler/src/scale_in.rs
+++ b/crates/tallygauge-scheduler/src/scale_in.rs
@@ -205,10 +205,7 @@
                 && worker.fencing_token_seen_at.is_some()
                 && (idle_s > boot_s * idle_timeout_boot_times || worker.surplus)
             {
-                worker.return_decision = Some(ReturnDecision {
-                    reason: ReturnReason::Idle,
-                    at: now,
-                });
+                worker.decide_return(ReturnReason::Idle, now, &mut self.events);
             }
             // Without the machine, tasks whose end is not durable yet would run again.
             let has_unsaved_ends = worker
--- a/crates/tallygauge-scheduler/src/task_end.rs
+++ b/crates/tallygauge-scheduler/src/task_end.rs
@@ -145,7 +145,7 @@
         };
         worker.failed_jobs.insert(job_id.to_string());
         if worker.failed_jobs.len() >= FAULTY_AFTER_FAILED_JOBS {
-            worker.decide_return(ReturnReason::Faulty, now);
+            worker.decide_return(ReturnReason::Faulty, now, &mut self.events);
         }
     }
 }
--- a/crates/tallygauge/src/cloud/returns.rs
+++ b/crates/tallygauge/src/cloud/returns.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use tallygauge_protocol::cloud::{MAX_MACHINES_PER_RETURN, MachineNames};
 use tallygauge_scheduler::{ReturnReason, ReturnableMachine};
+use tallygauge_store::http::HttpResult;
 use warp::http::{Method, StatusCode};
 
 /// Time between two updates of the surplus marks, in heartbeat intervals.
@@ -52,6 +53,7 @@
     let response = client::send(controller, Method::POST, "/machines/return", Some(&request)).await;
     let now = controller.now();
     if !matches!(response, Ok((StatusCode::OK, _))) {
+        log_failed_return(&machines, &response);
         return false;
     }
     controller.with_cluster(|cluster| {
@@ -66,6 +68,21 @@
     true
 }
 
+fn log_failed_return(machines: &[ReturnableMachine], response: &HttpResult) {
+    let status = response.as_ref().ok().map(|(status, _)| status.as_u16());
+    let count_unconfirmed = machines
+        .iter()
+        .filter(|machine| machine.reason == ReturnReason::CancelUnconfirmed)
+        .count();
+    tracing::info!(
+        machines = machines.len(),
+        cancel_unconfirmed = count_unconfirmed,
+        first = machines.first().map(|machine| machine.name.as_str()),
+        status,
+        "failed to return machines, retrying"
+    );
+}
+
 /// Takes the machines to return now. From now on nothing is placed on them, since the
 /// request may be executed late. While another controller may be the leader and use
 /// these machines, only those are returned that can't confirm that their cancelled
--- a/crates/tallygauge/src/direct_messages.rs
+++ b/crates/tallygauge/src/direct_messages.rs
@@ -3,7 +3,7 @@
 
 use crate::controller::Controller;
 use std::{sync::Arc, time::Duration};
-use tallygauge_protocol::workers::{DirectCommands, Heartbeat};
+use tallygauge_protocol::workers::{Command, DirectCommands, Heartbeat};
 use tallygauge_scheduler::{DirectMessage, HeartbeatOutcome};
 use tallygauge_store::http::RequestError;
 use warp::http::{Method, StatusCode};
@@ -12,13 +12,18 @@
 const TIMEOUT_FRACTION: f64 = 1.0 / 6.0;
 
 /// Outcome of sending a direct message.
+#[derive(Debug)]
 enum SendOutcome {
     /// The message was not sent: the worker has certainly not executed its commands.
     NotSent,
     /// The message was sent and got no usable answer: its commands may have been executed.
     Unanswered,
-    /// The worker executed or refused the commands, and answered with its state.
-    Answered(Heartbeat),
+    /// The worker executed the commands, or refused all of them with status 409, and answered
+    /// with its state.
+    Answered {
+        executed: bool,
+        heartbeat: Heartbeat,
+    },
 }
 
 /// Effect of a message's outcome on this controller.
@@ -59,7 +64,10 @@
 
 /// Sends one direct message, and applies the outcome if this controller still leads `term`.
 async fn deliver_direct_message(controller: &Controller, term: u64, message: DirectMessage) {
+    log_sending(term, &message);
+    let sent_at = controller.now();
     let outcome = post_commands(controller, term, &message).await;
+    log_outcome(term, &message, &outcome, controller.now() - sent_at);
     match apply_outcome(controller, term, &message, &outcome) {
         DeliveryEffect::Ignored => return,
         DeliveryEffect::Applied => {}
@@ -69,6 +77,46 @@
     controller.wake_completions.notify_one();
 }
 
+fn log_sending(term: u64, message: &DirectMessage) {
+    let stopped_attempts: Vec<u64> = message
+        .commands
+        .iter()
+        .filter_map(|command| match command {
+            Command::Stop { attempt, .. } => Some(*attempt),
+            Command::Start { .. } | Command::Clear { .. } => None,
+        })
+        .collect();
+    tracing::debug!(
+        machine = message.worker,
+        term,
+        incarnation = message.incarnation,
+        started_attempts = ?message.started_attempts,
+        ?stopped_attempts,
+        is_probe = message.is_probe,
+        "sending direct message"
+    );
+}
+
+fn log_outcome(term: u64, message: &DirectMessage, outcome: &SendOutcome, waited_s: f64) {
+    let outcome = match outcome {
+        SendOutcome::NotSent => "not sent",
+        SendOutcome::Unanswered => "unanswered, may still arrive",
+        SendOutcome::Answered { executed: true, .. } => "executed",
+        SendOutcome::Answered {
+            executed: false, ..
+        } => "refused by the worker",
+    };
+    tracing::debug!(
+        machine = message.worker,
+        term,
+        incarnation = message.incarnation,
+        started_attempts = ?message.started_attempts,
+        outcome,
+        waited_ms = (waited_s * 1000.0) as u64,
+        "direct message ended"
+    );
+}
+
 async fn post_commands(controller: &Controller, term: u64, message: &DirectMessage) -> SendOutcome {
     let body = DirectCommands {
         token: term,
@@ -89,8 +137,14 @@
         .send(Method::POST, &url, Some(&body), timeout, keep_alive)
         .await;
     match result {
-        Ok((StatusCode::OK | StatusCode::CONFLICT, body)) => {
-            serde_json::from_slice(&body).map_or(SendOutcome::Unanswered, SendOutcome::Answered)
+        Ok((status @ (StatusCode::OK | StatusCode::CONFLICT), body)) => {
+            match serde_json::from_slice(&body) {
+                Ok(heartbeat) => SendOutcome::Answered {
+                    executed: status == StatusCode::OK,
+                    heartbeat,
+                },
+                Err(_) => SendOutcome::Unanswered,
+            }
         }
         Ok(_) | Err(RequestError::NoResponse) => SendOutcome::Unanswered,
         Err(RequestError::NotSent) => SendOutcome::NotSent,
@@ -113,10 +167,10 @@
     let Some(cluster) = leadership.cluster.as_mut() else {
         return DeliveryEffect::Ignored;
     };
-    let answered = matches!(outcome, SendOutcome::Answered(_));
+    let answered = matches!(outcome, SendOutcome::Answered { .. });
     let never_sent = matches!(outcome, SendOutcome::NotSent);
     cluster.record_direct_message_result(message, answered, never_sent, now);
-    if let SendOutcome::Answered(heartbeat) = outcome
+    if let SendOutcome::Answered { heartbeat, .. } = outcome
         && heartbeat.machine == message.worker
         && let HeartbeatOutcome::Deposed(higher_term) =
             cluster.apply_direct_reply(now, message, heartbeat)
--- a/crates/tallygauge/src/event_log.rs
+++ b/crates/tallygauge/src/event_log.rs
@@ -55,6 +55,16 @@
         ClusterEvent::MachineReturnDecided { machine, reason } => {
             tracing::info!(machine, ?reason, "decided to return machine");
         }
+        ClusterEvent::StoppingEndedJob {
+            job,
+            attempts,
+            undelivered_starts,
+        } => tracing::debug!(
+            job,
+            attempts,
+            ?undelivered_starts,
+            "stopping attempts of ended job"
+        ),
         ClusterEvent::AttemptLost { task, machine } => {
             tracing::debug!(task, machine, "attempt lost with agent incarnation");
         }
--- a/crates/tallygauge/src/job_watch_loop.rs
+++ b/crates/tallygauge/src/job_watch_loop.rs
@@ -4,7 +4,7 @@
 use crate::{
     controller::Controller,
     job_watch,
-    store_keys::{ACTIVE_JOB_PREFIX, active_job_key},
+    store_keys::{ACTIVE_JOB_PREFIX, active_job_id, active_job_key},
 };
 use std::time::Duration;
 use tallygauge_protocol::state::{KeyValue, WatchEvent, WatchResponse};
@@ -48,6 +48,9 @@
 fn apply_events(controller: &Controller, response: WatchResponse, revision: u64, sent_at: f64) {
     let (now, unix_time_s) = (controller.now(), controller.unix_time_s());
     let has_events = !response.events.is_empty();
+    if has_events {
+        log_events(&response, sent_at, now);
+    }
     if let Some(leadership) = controller.leadership.lock().as_mut() {
         leadership.watch_confirmed_at = sent_at;
         leadership.watched_revision = revision;
@@ -62,6 +65,26 @@
     }
 }
 
+/// Logs what was read from the store: which active jobs ended, how many were added or changed,
+/// and when the watch was sent that was answered with these events.
+fn log_events(response: &WatchResponse, sent_at: f64, now: f64) {
+    let ended_jobs: Vec<&str> = response
+        .events
+        .iter()
+        .filter_map(|event| match event {
+            WatchEvent::Remove { key, .. } => active_job_id(key),
+            WatchEvent::Set { .. } => None,
+        })
+        .collect();
+    tracing::debug!(
+        revision = response.revision,
+        watch_sent_ms_ago = ((now - sent_at) * 1000.0) as u64,
+        changed_jobs = response.events.len() - ended_jobs.len(),
+        ?ended_jobs,
+        "applied changes of active jobs"
+    );
+}
+
 /// Replaces the jobs of the cluster state by a list of the active jobs, when the store no
 /// longer has the events since the last watch. Returns the revision of the list.
 async fn relist(controller: &Controller) -> Result<u64, StoreError> {
--- a/crates/tallygauge/src/summary.rs
+++ b/crates/tallygauge/src/summary.rs
@@ -10,6 +10,9 @@
 
 /// Measurements of this process, which are not part of the cluster state.
 struct ProcessMeasurements {
+    term: u64,
+    /// Time since the last answered watch of active jobs was sent.
+    watch_age_s: f64,
     longest_round_s: f64,
     scheduling_delay_s: f64,
     /// Requests that wait for the rate limiter of the store client.
@@ -46,7 +49,14 @@
         .unanswered_polls
         .longest_wait_s(now, expiry_s)
         .unwrap_or(0.0);
+    let (term, watch_confirmed_at) = controller
+        .leadership
+        .lock()
+        .as_ref()
+        .map_or((0, now), |own| (own.term, own.watch_confirmed_at));
     ProcessMeasurements {
+        term,
+        watch_age_s: now - watch_confirmed_at,
         longest_round_s: controller.load.take_longest_round_s(),
         scheduling_delay_s: controller.load.scheduling_delay_s(),
         requests_waiting: controller.store.budget().waiting(),
@@ -60,7 +70,15 @@
 
 fn log_totals(cluster: &ClusterState, process: &ProcessMeasurements, now: f64) {
     let cpus = cluster.cpu_usage();
+    let backlog = cluster.confirmation_backlog(now);
     tracing::info!(
+        term = process.term,
+        watch_age_ms = (process.watch_age_s * 1000.0) as u64,
+        unconfirmed_cancellations = backlog.unconfirmed_cancellations,
+        oldest_unconfirmed_s = backlog.oldest_unconfirmed_s as u64,
+        indeterminate_starts = backlog.indeterminate_starts,
+        pending_returns = backlog.pending_returns,
+        oldest_return_s = backlog.oldest_return_s as u64,
         jobs = cluster.jobs.len(),
         tasks_running = running_tasks(cluster),
         tasks_pending = pending_tasks(cluster),
--- a/crates/tallygauge/src/user_api/cancel.rs
+++ b/crates/tallygauge/src/user_api/cancel.rs
@@ -70,7 +70,8 @@
         )
         .await;
     match result.outcome {
-        Ok(TransactionOutcome::Committed(_)) => {
+        Ok(TransactionOutcome::Committed(revision)) => {
+            tracing::debug!(job = id, revision, "committed cancellation");
             apply_cancellation(controller, id, cancelled);
             Ok(Some(JobStatus::Cancelled))
         }
--- a/crates/tallygauge/src/worker_api.rs
+++ b/crates/tallygauge/src/worker_api.rs
@@ -31,6 +31,16 @@
     Malformed(String),
 }
 
+/// Why a leader does not answer a heartbeat, so that the worker's lease is not renewed.
+#[derive(Debug, Clone, Copy)]
+enum RefusalReason {
+    /// The leader cannot confirm its term, or may lack cancellations, or has not recovered the
+    /// cluster state.
+    Fenced,
+    /// The heartbeat is a late or duplicated one, or of an agent incarnation that has ended.
+    OutOfDate,
+}
+
 /// Outcome of processing a heartbeat on this controller.
 enum HeartbeatEffect {
     /// The heartbeat was applied to the cluster state. `needs_scheduling` says whether the
@@ -40,7 +50,7 @@
         needs_scheduling: bool,
     },
     /// The leader must not accept the heartbeat: the reply is 503.
-    Refused,
+    Refused(RefusalReason),
     /// The worker has seen the given term, which is higher than this leader's.
     Superseded(u64),
     /// This controller is not the leader.
@@ -103,7 +113,10 @@
             }
             HeartbeatReply::Accepted(response)
         }
-        HeartbeatEffect::Refused => HeartbeatReply::Unavailable,
+        HeartbeatEffect::Refused(reason) => {
+            tracing::debug!(machine = heartbeat.machine, ?reason, "refused heartbeat");
+            HeartbeatReply::Unavailable
+        }
         HeartbeatEffect::Superseded(higher_term) => {
             controller.observe_term(higher_term, None);
             redirect_to_leader(controller)
@@ -134,17 +147,19 @@
     // A response would renew the worker's lease although a new leader may have placed the
     // worker's tasks again, or any controller may have cancelled their jobs.
     if leadership.is_fenced(now, fencing_timeout_s) {
-        return HeartbeatEffect::Refused;
+        return HeartbeatEffect::Refused(RefusalReason::Fenced);
     }
     let Some(cluster) = leadership.cluster.as_mut() else {
-        return HeartbeatEffect::Refused;
+        return HeartbeatEffect::Refused(RefusalReason::Fenced);
     };
     match cluster.apply_heartbeat(now, heartbeat, HeartbeatSource::Periodic) {
         HeartbeatOutcome::Applied | HeartbeatOutcome::Overtaken => {}
         // A delayed or duplicated heartbeat must not renew a lease or receive commands.
         HeartbeatOutcome::Stale
         | HeartbeatOutcome::DeadIncarnation
-        | HeartbeatOutcome::Deposed(_) => return HeartbeatEffect::Refused,
+        | HeartbeatOutcome::Deposed(_) => {
+            return HeartbeatEffect::Refused(RefusalReason::OutOfDate);
+        }
     }
     let needs_scheduling = std::mem::take(&mut cluster.needs_scheduling);
     let commands = cluster.commands(&heartbeat.machine, now);
