Scheduler: one return decision for each reason, so none hides another

Users saw two tasks of a job start 72 s after its cancellation was confirmed (limit of that site about 57 s).

The decision CancelUnconfirmed, which does not wait, found the slot taken. The start of the cancelled tasks was still in transit in a direct message, so the attempts could not be seen to end, the machine never became empty, its heartbeats were answered, and its incarnation went on until the message arrived. Besides, only the first reason that applied was looked at: a machine that is slow was never found to be unconfirmed.

Change: `ReturnDecisions` holds a decision for each reason, all reasons that apply are decided, each takes effect and is revoked by itself. A machine is returned as soon as one of them allows it; those returned for safety come first, since a request returns a hundred at most. The decision Idle goes the same way.

Why this is enough for this fault: whatever else was decided, before, after or at the same moment, CancelUnconfirmed is decided at 0.7 of the cancel timeout and the return goes out with the next request.

--- a/crates/tallygauge-scheduler/src/confirmation_backlog.rs
+++ b/crates/tallygauge-scheduler/src/confirmation_backlog.rs
@@ -25,7 +25,7 @@
     pub fn confirmation_backlog(&self, now: f64) -> ConfirmationBacklog {
         let mut backlog = ConfirmationBacklog::default();
         for worker in self.workers.values() {
-            if let Some(decision) = worker.return_decision {
+            if let Some(decision) = worker.return_decisions.first() {
                 backlog.pending_returns += 1;
                 backlog.oldest_return_s = backlog.oldest_return_s.max(now - decision.at);
             }
--- a/crates/tallygauge-scheduler/src/fleet_capacity.rs
+++ b/crates/tallygauge-scheduler/src/fleet_capacity.rs
@@ -15,7 +15,7 @@
 impl Worker {
     /// Whether its machine has been rented, is not up yet and is not to be returned.
     pub(crate) fn is_booting(&self) -> bool {
-        !self.has_reported() && self.return_decision.is_none()
+        !self.has_reported() && !self.is_being_returned()
     }
 }
 
--- a/crates/tallygauge-scheduler/src/heartbeats.rs
+++ b/crates/tallygauge-scheduler/src/heartbeats.rs
@@ -212,7 +212,7 @@
         self.workers.get(&heartbeat.machine).is_some_and(|worker| {
             worker.fencing_token_seen_at.is_some()
                 && worker.spot_reclaim_at.is_none()
-                && worker.return_decision.is_none()
+                && !worker.is_being_returned()
                 && is_unchanged(worker, &heartbeat.tasks)
         })
     }
@@ -226,7 +226,7 @@
         if worker.fencing_token_seen_at.is_none() {
             self.needs_direct_message.insert(machine.to_string());
         }
-        if worker.spot_reclaim_at.is_some() || worker.return_decision.is_some() {
+        if worker.spot_reclaim_at.is_some() || worker.is_being_returned() {
             self.stop_unwanted_attempts(machine, now);
         }
     }
--- a/crates/tallygauge-scheduler/src/image_locality.rs
+++ b/crates/tallygauge-scheduler/src/image_locality.rs
@@ -32,11 +32,7 @@
         max_shards: usize,
     ) -> Vec<ImageLocations> {
         let mut images = Vec::new();
-        for worker in self
-            .workers
-            .values()
-            .filter(|w| w.return_decision.is_none())
-        {
+        for worker in self.workers.values().filter(|w| !w.is_being_returned()) {
             let machine_type = self.machine_types.get(&worker.machine_type);
             let gb_per_s = machine_type
                 .map_or(DEFAULT_FETCH_GB_PER_S, |t| t.fetch_gb_per_s)
--- a/crates/tallygauge-scheduler/src/machines.rs
+++ b/crates/tallygauge-scheduler/src/machines.rs
@@ -172,9 +172,9 @@
             .workers
             .values()
             .filter(|worker| {
-                worker.return_decision.is_some()
+                worker.is_being_returned()
                     || worker.spot_reclaim_at.is_some()
-                    || self.return_reason(worker, now).is_some()
+                    || !self.return_reasons(worker, now).is_empty()
             })
             .map(|worker| worker.name.clone())
             .collect();
@@ -208,39 +208,57 @@
         }
     }
 
-    /// Why a machine should be returned to the cloud; `None` if it should be kept.
-    fn return_reason(&self, worker: &Worker, now: f64) -> Option<ReturnReason> {
-        let config = &self.config;
+    /// All reasons for which a machine should be returned to the cloud now; empty if it should
+    /// be kept.
+    fn return_reasons(&self, worker: &Worker, now: f64) -> Vec<ReturnReason> {
         // A new leader has received no heartbeat from any worker yet, so a missing heartbeat
         // alone does not mean that an old machine has failed to boot.
         if !worker.has_reported() && worker.booted_at.is_none() {
-            return self
-                .has_boot_timed_out(worker, now)
-                .then_some(ReturnReason::BootTimeout);
+            let has_timed_out = self.has_boot_timed_out(worker, now);
+            return has_timed_out
+                .then_some(ReturnReason::BootTimeout)
+                .into_iter()
+                .collect();
         }
-        // Whole zones may be partitioned for several leases and recover. Until then, other
-        // machines are rented if pending work needs them, but none of the silent ones is
-        // returned.
+        [
+            (ReturnReason::Silent, self.is_silent(worker, now)),
+            (
+                ReturnReason::Unreachable,
+                self.stays_unreachable(worker, now),
+            ),
+            (ReturnReason::Slow, is_slow(worker)),
+            (
+                ReturnReason::CancelUnconfirmed,
+                has_unconfirmed_cancellation(worker, &self.config, now),
+            ),
+        ]
+        .into_iter()
+        .filter_map(|(reason, applies)| applies.then_some(reason))
+        .collect()
+    }
+
+    /// Whether a machine without attempts has sent no heartbeat for several leases.
+    ///
+    /// Whole zones may be partitioned for several leases and recover. Until then, other
+    /// machines are rented if pending work needs them, but none of the silent ones is
+    /// returned.
+    fn is_silent(&self, worker: &Worker, now: f64) -> bool {
         let last_contact = worker
             .last_heartbeat_at
             .max(worker.booted_at.unwrap_or(f64::NEG_INFINITY))
             .max(self.term_started_at);
-        let max_silence_s = config.lease_s * MAX_SILENCE_LEASES;
-        if worker.attempts.is_empty() && now - last_contact > max_silence_s {
-            return Some(ReturnReason::Silent);
-        }
-        // The same holds for machines that send heartbeats but receive nothing: a zone may
-        // be partitioned in one direction only.
+        worker.attempts.is_empty() && now - last_contact > self.max_silence_s()
+    }
+
+    /// Whether a machine has sent heartbeats but received nothing for several leases: a zone
+    /// may be partitioned in one direction only, and recover.
+    fn stays_unreachable(&self, worker: &Worker, now: f64) -> bool {
         let unreachable_for = worker.reachability.unreachable_for(now);
-        if unreachable_for.is_some_and(|s| s > max_silence_s) {
-            return Some(ReturnReason::Unreachable);
-        }
-        if worker.runtime_ratio.count >= MIN_COMPARED_TASKS
-            && worker.runtime_ratio.mean() > MAX_RUNTIME_RATIO
-        {
-            return Some(ReturnReason::Slow);
-        }
-        has_unconfirmed_cancellation(worker, config, now).then_some(ReturnReason::CancelUnconfirmed)
+        unreachable_for.is_some_and(|seconds| seconds > self.max_silence_s())
+    }
+
+    fn max_silence_s(&self) -> f64 {
+        self.config.lease_s * MAX_SILENCE_LEASES
     }
 
     /// Whether a machine that has not booted has had enough time to, and this leader has
@@ -257,16 +275,16 @@
     /// Decides whether a machine is to be returned. If it is, or if the cloud is about to
     /// reclaim it, stops the attempts that must not stay on it.
     pub(crate) fn stop_unwanted_attempts(&mut self, machine: &str, now: f64) {
-        let reason = self.return_reason(&self.workers[machine], now);
+        let reasons = self.return_reasons(&self.workers[machine], now);
         let runtime_ratios = self.runtime_ratios_if_reclaimed(machine);
         let Some(worker) = self.workers.get_mut(machine) else {
             return;
         };
-        if let Some(reason) = reason {
+        for reason in reasons {
             worker.decide_return(reason, now, &mut self.events);
         }
         self.needs_direct_message.insert(machine.to_string());
-        let (reclaimed_at, return_decision) = (worker.spot_reclaim_at, worker.return_decision);
+        let reclaimed_at = worker.spot_reclaim_at;
         for attempt in &mut worker.attempts {
             if attempt.stop.is_some()
                 || !attempt.occupies_capacity()
@@ -279,9 +297,7 @@
                 if must_stop_before_reclaim(attempt, reclaimed_at, ratio.unwrap_or(1.0), now) {
                     attempt.request_stop(StopReason::SpotNotice, now);
                 }
-            } else if let Some(ReturnDecision { reason, .. }) = return_decision
-                && must_stop_before_return(attempt, reason)
-            {
+            } else if must_stop_before_return(attempt, &worker.return_decisions) {
                 attempt.request_stop(StopReason::Drained, now);
             }
         }
@@ -323,6 +339,12 @@
     }
 }
 
+/// Whether tasks take much longer on a machine than on others.
+fn is_slow(worker: &Worker) -> bool {
+    worker.runtime_ratio.count >= MIN_COMPARED_TASKS
+        && worker.runtime_ratio.mean() > MAX_RUNTIME_RATIO
+}
+
 /// Whether a machine has sent a heartbeat since an attempt on it was cancelled but has
 /// not confirmed the attempt's end in time.
 ///
@@ -366,12 +388,15 @@
 
 /// Whether an attempt must be stopped so that its machine can be returned; otherwise the
 /// machine is kept until the attempt ends.
-fn must_stop_before_return(attempt: &Attempt, reason: ReturnReason) -> bool {
-    let is_urgent = matches!(
-        reason,
-        ReturnReason::CancelUnconfirmed | ReturnReason::Faulty
-    );
+fn must_stop_before_return(attempt: &Attempt, decisions: &ReturnDecisions) -> bool {
+    let is_urgent = decisions.iter().any(|decision| {
+        matches!(
+            decision.reason,
+            ReturnReason::CancelUnconfirmed | ReturnReason::Faulty
+        )
+    });
     let saves_checkpoints = attempt.spec.checkpoint_every_s > 0.0;
     let is_starting = attempt.running_since.is_none();
-    saves_checkpoints || is_urgent || is_starting || attempt.spec.shape == Shape::Service
+    let is_service = attempt.spec.shape == Shape::Service;
+    !decisions.is_empty() && (saves_checkpoints || is_urgent || is_starting || is_service)
 }
--- a/crates/tallygauge-scheduler/src/model/mod.rs
+++ b/crates/tallygauge-scheduler/src/model/mod.rs
@@ -7,6 +7,7 @@
 mod feasibility;
 mod job;
 mod records;
+mod return_decisions;
 mod worker;
 
 pub use attempt::*;
@@ -15,4 +16,5 @@
 pub use feasibility::*;
 pub use job::*;
 pub use records::*;
+pub use return_decisions::*;
 pub use worker::*;
--- a/crates/tallygauge-scheduler/src/model/worker.rs
+++ b/crates/tallygauge-scheduler/src/model/worker.rs
@@ -6,36 +6,6 @@
 use tallygauge_health::{MessageOrder, Reachability};
 use tallygauge_protocol::{cloud::MachineType, users::JobSpec};
 
-/// Why a machine is to be returned to the cloud.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ReturnReason {
-    /// It has been idle for too long, or is surplus.
-    Idle,
-    /// Its agent never sent a heartbeat.
-    BootTimeout,
-    /// The cloud reports that it failed.
-    Failed,
-    /// Tasks of several jobs failed on it.
-    Faulty,
-    /// Tasks run slower on it than on other machines.
-    Slow,
-    /// It did not confirm in time that cancelled tasks have ended.
-    CancelUnconfirmed,
-    /// It has sent no heartbeat for several leases.
-    Silent,
-    /// It sends heartbeats, but messages sent to it do not arrive.
-    Unreachable,
-}
-
-/// A decision to return a machine to the cloud.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ReturnDecision {
-    /// Why the machine is returned.
-    pub reason: ReturnReason,
-    /// When the decision was made, in seconds of the leader's monotonic clock.
-    pub at: f64,
-}
-
 /// An attempt that a worker reports, although no leader placed it there.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OrphanedAttempt {
@@ -126,8 +96,8 @@
     pub free_resources: Resources,
     /// Images that it has cached or is fetching, as far as known.
     pub images: ImageCache,
-    /// The decision to return the machine, if one was made.
-    pub return_decision: Option<ReturnDecision>,
+    /// The decisions to return the machine, one for each reason.
+    pub return_decisions: ReturnDecisions,
     /// Whether the open jobs do not need it. A surplus machine is the last choice for new
     /// tasks and is returned as soon as it is empty.
     pub surplus: bool,
@@ -176,7 +146,7 @@
             orphaned_attempts: Vec::new(),
             free_resources: capacity,
             images: ImageCache::default(),
-            return_decision: None,
+            return_decisions: ReturnDecisions::default(),
             surplus: false,
             return_sent: false,
             direct_message_in_flight: false,
@@ -193,7 +163,7 @@
     pub fn accepts_work(&self, now: f64, config: &Config) -> bool {
         self.incarnation > self.last_dead_incarnation
             && self.fencing_token_seen_at.is_some()
-            && self.return_decision.is_none()
+            && !self.is_being_returned()
             && self.spot_reclaim_at.is_none()
             && now - self.last_heartbeat_at < config.heartbeat_timeout_s()
             && self
@@ -201,36 +171,38 @@
                 .accepts_work(now, &config.reachability_thresholds())
     }
 
-    /// Decides to return the machine, unless that was decided before. Returns whether
-    /// the decision is new; a new one is added to `events`.
+    /// Decides to return the machine for this reason, unless that was decided before. Returns
+    /// whether the decision is new; a new one is added to `events`.
     pub(crate) fn decide_return(
         &mut self,
         reason: ReturnReason,
         now: f64,
         events: &mut Vec<ClusterEvent>,
     ) -> bool {
-        if self.return_decision.is_some() {
-            return false;
+        let is_new = self.return_decisions.add(reason, now);
+        if is_new {
+            events.push(ClusterEvent::MachineReturnDecided {
+                machine: self.name.clone(),
+                reason,
+            });
         }
-        self.return_decision = Some(ReturnDecision { reason, at: now });
-        events.push(ClusterEvent::MachineReturnDecided {
-            machine: self.name.clone(),
-            reason,
-        });
-        true
+        is_new
     }
 
-    /// Revokes the decision to return the machine if it was made for one of these
-    /// reasons and the return has not been sent.
+    /// Revokes the decisions to return the machine that were made for these reasons, unless
+    /// the return has been sent.
     pub(crate) fn revoke_return(&mut self, reasons: &[ReturnReason]) {
-        let revocable = self
-            .return_decision
-            .is_some_and(|decision| reasons.contains(&decision.reason));
-        if revocable && !self.return_sent {
-            self.return_decision = None;
+        if !self.return_sent {
+            self.return_decisions.revoke(reasons);
         }
     }
 
+    /// Whether the machine is to be returned to the cloud.
+    #[must_use]
+    pub fn is_being_returned(&self) -> bool {
+        !self.return_decisions.is_empty()
+    }
+
     /// Whether this leader has received a heartbeat from it.
     #[must_use]
     pub fn has_reported(&self) -> bool {
--- a/crates/tallygauge-scheduler/src/pending_reasons.rs
+++ b/crates/tallygauge-scheduler/src/pending_reasons.rs
@@ -225,7 +225,7 @@
                 counts.usable += 1;
                 let fits = worker.free_resources.can_fit(&job.spec);
                 counts.with_free_resources += usize::from(fits);
-            } else if worker.return_decision.is_some() || worker.spot_reclaim_at.is_some() {
+            } else if worker.is_being_returned() || worker.spot_reclaim_at.is_some() {
                 counts.leaving += 1;
             } else if !worker.has_reported() {
                 counts.booting += 1;
--- a/crates/tallygauge-scheduler/src/scale_in.rs
+++ b/crates/tallygauge-scheduler/src/scale_in.rs
@@ -185,6 +185,8 @@
     /// - those that are empty and on which all ends of tasks are durable;
     /// - those that need not become empty first, for example because they have been silent
     ///   for long enough.
+    ///
+    /// Machines that are returned for safety come first.
     pub fn machines_to_return(&mut self, now: f64) -> Vec<ReturnableMachine> {
         let mut returnable = Vec::new();
         let idle_timeout_boot_times = self.config.idle_timeout_boot_times;
@@ -200,7 +202,7 @@
                     .idle_since
                     .max(self.term_started_at)
                     .max(worker.incarnation_seen_at);
-            if worker.return_decision.is_none()
+            if !worker.is_being_returned()
                 && is_empty
                 && worker.fencing_token_seen_at.is_some()
                 && (idle_s > boot_s * idle_timeout_boot_times || worker.surplus)
@@ -212,24 +214,27 @@
                 .attempts
                 .iter()
                 .any(|a| !a.occupies_capacity() && !a.end_durable);
-            let Some(ReturnDecision { reason, at: since }) = worker.return_decision else {
-                continue;
-            };
-            let need_not_be_empty = match reason {
+            let need_not_be_empty = |decision: &ReturnDecision| match decision.reason {
                 ReturnReason::CancelUnconfirmed => true,
                 ReturnReason::BootTimeout | ReturnReason::Failed => {
                     now - self.term_started_at > settle_s
                 }
-                ReturnReason::Silent | ReturnReason::Unreachable => now - since > settle_s,
+                ReturnReason::Silent | ReturnReason::Unreachable => now - decision.at > settle_s,
                 ReturnReason::Faulty | ReturnReason::Slow | ReturnReason::Idle => false,
             };
-            if need_not_be_empty || (is_empty && !has_unsaved_ends) {
-                returnable.push(ReturnableMachine {
-                    name: worker.name.clone(),
-                    reason,
-                });
-            }
+            let is_vacated = is_empty && !has_unsaved_ends;
+            let effective = worker
+                .return_decisions
+                .iter()
+                .filter(|decision| is_vacated || need_not_be_empty(decision))
+                .min_by_key(|decision| !decision.reason.is_for_safety());
+            returnable.extend(effective.map(|decision| ReturnableMachine {
+                name: worker.name.clone(),
+                reason: decision.reason,
+            }));
         }
+        // A request returns a limited number of machines.
+        returnable.sort_by_key(|machine| !machine.reason.is_for_safety());
         returnable
     }
 
--- a/crates/tallygauge-scheduler/src/scale_out.rs
+++ b/crates/tallygauge-scheduler/src/scale_out.rs
@@ -118,7 +118,7 @@
         let Some(machine_type) = self.machine_types.get(&worker.machine_type) else {
             return false;
         };
-        let stays = worker.return_decision.is_none() && worker.spot_reclaim_at.is_none();
+        let stays = !worker.is_being_returned() && worker.spot_reclaim_at.is_none();
         let thresholds = self.config.reachability_thresholds();
         if !stays || !worker.reachability.accepts_work(now, &thresholds) {
             return false;
@@ -242,7 +242,7 @@
                         *relocatable.cpus_by_job.entry(id).or_default() += attempt.spec.cpus;
                     }
                 }
-                _ if worker.return_decision.is_none() && worker.spot_reclaim_at.is_none() => {
+                _ if !worker.is_being_returned() && worker.spot_reclaim_at.is_none() => {
                     relocatable.free_small_cpus += worker.free_resources.cpus;
                 }
                 _ => {}
--- a/crates/tallygauge-scheduler/src/tests/machines.rs
+++ b/crates/tallygauge-scheduler/src/tests/machines.rs
@@ -21,7 +21,7 @@
     assert_eq!(
         (
             c.workers["sa"].attempts.len(),
-            c.workers["sa"].return_decision
+            c.workers["sa"].return_decisions.first()
         ),
         (1, None)
     );
@@ -29,7 +29,7 @@
     assert_eq!(
         (
             c.workers["sa"].attempts.len(),
-            c.workers["sa"].return_decision
+            c.workers["sa"].return_decisions.first()
         ),
         (0, None)
     );
@@ -44,7 +44,8 @@
         c.advance_time(now);
     }
     let return_reason = c.workers["sa"]
-        .return_decision
+        .return_decisions
+        .first()
         .map(|decision| decision.reason);
     assert_eq!(return_reason, Some(ReturnReason::CancelUnconfirmed));
 }
@@ -68,7 +69,7 @@
     // booted, because the new leader has had no heartbeat from them yet.
     let mut c = cluster(&[], 100.0);
     let old = listed(MachineState::Booting);
-    let reason = |c: &ClusterState| c.workers["sa"].return_decision.map(|d| d.reason);
+    let reason = |c: &ClusterState| c.workers["sa"].return_decisions.first().map(|d| d.reason);
     c.apply_machine_list(std::slice::from_ref(&old), 100.5, 100.5);
     c.advance_time(101.0);
     assert_eq!(reason(&c), None);
@@ -90,7 +91,7 @@
     let mut c = cluster(&[], 100.0);
     let running = listed(MachineState::Running);
     c.apply_machine_list(&[running], 101.0, 101.0);
-    let reason = |c: &ClusterState| c.workers["sa"].return_decision.map(|d| d.reason);
+    let reason = |c: &ClusterState| c.workers["sa"].return_decisions.first().map(|d| d.reason);
     for now in [125.0, 150.0, 175.0] {
         c.advance_time(now);
         assert_eq!(reason(&c), None, "at {now}");
@@ -215,7 +216,8 @@
         c.advance_time(now);
         let is_slow = |machine: &str| {
             c.workers[machine]
-                .return_decision
+                .return_decisions
+                .first()
                 .is_some_and(|decision| decision.reason == ReturnReason::Slow)
         };
         assert!(!is_slow("l1a"));
--- a/crates/tallygauge-scheduler/src/tests/mod.rs
+++ b/crates/tallygauge-scheduler/src/tests/mod.rs
@@ -12,6 +12,7 @@
 mod reconciliation;
 mod recovery;
 mod reference_model;
+mod return_decisions;
 mod start_deadline;
 
 use crate::{mapping::TaskGroup, *};
--- a/crates/tallygauge-scheduler/src/tests/reachability.rs
+++ b/crates/tallygauge-scheduler/src/tests/reachability.rs
@@ -127,7 +127,7 @@
         if newly_placed > 0 {
             last_placed_at = now;
         }
-        if return_decided_at.is_none() && c.workers["sa"].return_decision.is_some() {
+        if return_decided_at.is_none() && c.workers["sa"].is_being_returned() {
             return_decided_at = Some(now);
         }
     }
@@ -141,7 +141,8 @@
     );
     assert_eq!(
         c.workers["sa"]
-            .return_decision
+            .return_decisions
+            .first()
             .map(|decision| decision.reason),
         Some(ReturnReason::Unreachable)
     );
@@ -171,7 +172,7 @@
         c.workers["sa"].reachability,
         Reachability::Unreachable { .. }
     ));
-    assert!(c.workers["sa"].return_decision.is_some());
+    assert!(c.workers["sa"].is_being_returned());
     // It is probed until it answers, but not at each of its heartbeats.
     let mut probes = 0;
     while now < 260.0 && c.workers["sa"].reachability.needs_probe() {
@@ -183,7 +184,7 @@
         (1..=2).contains(&probes) && now < 222.0,
         "{probes} at {now}"
     );
-    assert_eq!(c.workers["sa"].return_decision, None);
+    assert_eq!(c.workers["sa"].return_decisions.first(), None);
     assert_eq!(round(&mut c, now).len(), 2);
 }
 
--- /dev/null
+++ b/crates/tallygauge-scheduler/src/tests/return_decisions.rs
@@ -0,0 +1,119 @@
+//! Decisions to return a machine for several reasons at once.
+
+use super::*;
+
+/// All reasons but that of an unconfirmed cancellation.
+const OTHER_REASONS: [ReturnReason; 7] = [
+    ReturnReason::Idle,
+    ReturnReason::BootTimeout,
+    ReturnReason::Failed,
+    ReturnReason::Faulty,
+    ReturnReason::Slow,
+    ReturnReason::Silent,
+    ReturnReason::Unreachable,
+];
+
+/// When the job of [`cluster_with_undelivered_start`] is cancelled.
+const CANCELLED_AT: f64 = 101.0;
+
+/// A cluster whose machine `sa` may still get the start of a cancelled task, because the
+/// direct message with the start was given up.
+fn cluster_with_undelivered_start() -> ClusterState {
+    let mut c = cluster(&["sa"], 100.0);
+    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
+    round(&mut c, 100.0);
+    let message = c.take_direct_messages(100.0, 1.0).remove(0);
+    assert_eq!(message.started_attempts.len(), 1);
+    c.record_direct_message_result(&message, false, false, CANCELLED_AT);
+    c.remove_job("req-1", CANCELLED_AT);
+    c
+}
+
+/// Sends heartbeats without tasks until `until`, and answers them.
+fn send_empty_heartbeats(c: &mut ClusterState, until: f64) {
+    let mut now = c.workers["sa"].last_heartbeat_at + 2.0;
+    while now <= until {
+        let heartbeat = heartbeat_from("sa", 1, now as u64, TERM, vec![]);
+        c.apply_heartbeat(now, &heartbeat, HeartbeatSource::Periodic);
+        let commands = c.commands("sa", now);
+        c.record_heartbeat_response("sa", &commands, now);
+        c.advance_time(now);
+        now += 2.0;
+    }
+}
+
+fn decide(c: &mut ClusterState, reason: ReturnReason, now: f64) {
+    let worker = c.workers.get_mut("sa").unwrap();
+    assert!(worker.decide_return(reason, now, &mut Vec::new()));
+}
+
+fn return_reason(c: &mut ClusterState, now: f64) -> Option<ReturnReason> {
+    c.machines_to_return(now)
+        .first()
+        .map(|machine| machine.reason)
+}
+
+#[test]
+fn machine_is_returned_for_unconfirmed_cancellation_whatever_else_was_decided_before_or_after() {
+    for reason in OTHER_REASONS {
+        for is_earlier in [true, false] {
+            let mut c = cluster_with_undelivered_start();
+            if is_earlier {
+                decide(&mut c, reason, CANCELLED_AT);
+            }
+            send_empty_heartbeats(&mut c, CANCELLED_AT + 30.0);
+            if !is_earlier {
+                decide(&mut c, reason, CANCELLED_AT + 30.0);
+            }
+            assert_eq!(
+                return_reason(&mut c, CANCELLED_AT + 30.0),
+                Some(ReturnReason::CancelUnconfirmed),
+                "{reason:?}, earlier: {is_earlier}"
+            );
+        }
+    }
+}
+
+#[test]
+fn machine_found_slow_at_the_same_moment_is_returned_for_unconfirmed_cancellation() {
+    let mut c = cluster_with_undelivered_start();
+    send_empty_heartbeats(&mut c, CANCELLED_AT + 27.0);
+    let worker = c.workers.get_mut("sa").unwrap();
+    (0..3).for_each(|_| worker.runtime_ratio.add(3.0));
+    send_empty_heartbeats(&mut c, CANCELLED_AT + 30.0);
+    assert_eq!(c.workers["sa"].return_decisions.iter().count(), 2);
+    assert_eq!(
+        return_reason(&mut c, CANCELLED_AT + 30.0),
+        Some(ReturnReason::CancelUnconfirmed)
+    );
+}
+
+#[test]
+fn revoked_return_reason_leaves_the_other_reasons_in_force() {
+    let mut c = cluster_with_undelivered_start();
+    decide(&mut c, ReturnReason::Unreachable, CANCELLED_AT);
+    decide(&mut c, ReturnReason::Faulty, CANCELLED_AT);
+    let worker = c.workers.get_mut("sa").unwrap();
+    worker.confirm_reachable();
+    assert_eq!(
+        worker.return_decisions.first().map(|d| d.reason),
+        Some(ReturnReason::Faulty)
+    );
+}
+
+#[test]
+fn machines_with_unconfirmed_cancellations_are_returned_before_others() {
+    let mut c = cluster_with_undelivered_start();
+    let silent = heartbeat_from("l1a", 1, 1, TERM, vec![]);
+    c.apply_heartbeat(100.0, &silent, HeartbeatSource::Periodic);
+    send_empty_heartbeats(&mut c, 200.0);
+    let reasons: Vec<ReturnReason> = c
+        .machines_to_return(200.0)
+        .iter()
+        .map(|machine| machine.reason)
+        .collect();
+    assert_eq!(
+        reasons,
+        [ReturnReason::CancelUnconfirmed, ReturnReason::Silent]
+    );
+}
--- a/crates/tallygauge/src/cloud/returns.rs
+++ b/crates/tallygauge/src/cloud/returns.rs
@@ -4,7 +4,7 @@
 use crate::controller::Controller;
 use std::time::Duration;
 use tallygauge_protocol::cloud::{MAX_MACHINES_PER_RETURN, MachineNames};
-use tallygauge_scheduler::{ReturnReason, ReturnableMachine};
+use tallygauge_scheduler::ReturnableMachine;
 use tallygauge_store::http::HttpResult;
 use warp::http::{Method, StatusCode};
 
@@ -72,7 +72,7 @@
     let status = response.as_ref().ok().map(|(status, _)| status.as_u16());
     let count_unconfirmed = machines
         .iter()
-        .filter(|machine| machine.reason == ReturnReason::CancelUnconfirmed)
+        .filter(|machine| machine.reason.is_for_safety())
         .count();
     tracing::info!(
         machines = machines.len(),
@@ -95,7 +95,7 @@
     let is_sole_leader = controller.holds_unexpired_lease();
     let due = controller.with_cluster(|cluster| {
         let mut due = cluster.machines_to_return(now);
-        due.retain(|machine| is_sole_leader || machine.reason == ReturnReason::CancelUnconfirmed);
+        due.retain(|machine| is_sole_leader || machine.reason.is_for_safety());
         due.truncate(MAX_MACHINES_PER_RETURN);
         let names: Vec<String> = due.iter().map(|machine| machine.name.clone()).collect();
         cluster.mark_return_sent(&names);
