Scheduler: let a lease expire while a cancelled task may still start

What callers saw: with the cloud refusing returns, a job's user was told that it is cancelled, and two of its tasks started 30 s later (limit 20 s, simulation).

Cause: the argument of the fence took it that every answer stops what was cancelled. A stop ends an attempt that the worker knows; an attempt whose start is still in transit in a direct message it does not know, and the worker keeps no memory of the stop. The leader repeated the stop with each answer, and each answer renewed the lease of the one incarnation in which that start is carried out. What bounded the time was the return of the machine alone, and a return may be refused, answered late, or wait behind others.

Change: `ClusterState::may_renew_lease` is asked before each answer to a heartbeat. From the fencing timeout after its placement on, a cancelled attempt that no heartbeat has shown and whose direct message is in flight or was given up withholds the renewal. Nothing is placed on the machine meanwhile; a line at info, the summary's `withheld_leases` and the reason at debug say so. Lease expiry moved with it from machines.rs to worker_leases.rs.

Why it works, without the cloud and whatever fails: the user was told after the placement, since a placement is stored only while the job is active. The last renewal is at most F = 0.85 (cancel_s - lease_s) after it, the incarnation ends a lease later, before cancel_s, and the next one refuses the start. A new leader needs nothing of this: its token refuses the starts of earlier terms.

Cost: the other tasks on that machine, which the return would have ended as well. When the start arrives before the lease is over, nothing is lost.

--- a/crates/tallygauge-scheduler/src/confirmation_backlog.rs
+++ b/crates/tallygauge-scheduler/src/confirmation_backlog.rs
@@ -13,6 +13,8 @@
     /// Attempts whose start was sent in a direct message that was given up but may still
     /// arrive.
     pub indeterminate_starts: usize,
+    /// Workers whose lease is not renewed because a cancelled task may still start there.
+    pub withheld_leases: usize,
     /// Machines that are to be returned to the cloud.
     pub pending_returns: usize,
     /// Age of the oldest decision to return one of these.
@@ -25,6 +27,7 @@
     pub fn confirmation_backlog(&self, now: f64) -> ConfirmationBacklog {
         let mut backlog = ConfirmationBacklog::default();
         for worker in self.workers.values() {
+            backlog.withheld_leases += usize::from(worker.renewal_withheld_since.is_some());
             if let Some(decision) = worker.return_decisions.first() {
                 backlog.pending_returns += 1;
                 backlog.oldest_return_s = backlog.oldest_return_s.max(now - decision.at);
@@ -40,10 +43,9 @@
 impl ConfirmationBacklog {
     fn add_attempt(&mut self, attempt: &Attempt, now: f64) {
         self.indeterminate_starts += usize::from(attempt.start_indeterminate_since.is_some());
-        let cancellation = attempt
-            .stop
-            .filter(|stop| stop.reason == StopReason::Cancelled);
-        if let Some(stop) = cancellation {
+        if attempt.is_cancelled()
+            && let Some(stop) = attempt.stop
+        {
             self.unconfirmed_cancellations += 1;
             self.oldest_unconfirmed_s = self.oldest_unconfirmed_s.max(now - stop.at);
         }
--- a/crates/tallygauge-scheduler/src/events.rs
+++ b/crates/tallygauge-scheduler/src/events.rs
@@ -36,6 +36,12 @@
         /// Why the machine is returned.
         reason: ReturnReason,
     },
+    /// A worker's heartbeats are no longer answered, because a cancelled task may still start
+    /// there. Its lease expires unless the task is seen to end.
+    LeaseRenewalWithheld {
+        /// Name of the machine.
+        machine: String,
+    },
     /// A job has ended, and its attempts that have not ended are to be stopped.
     StoppingEndedJob {
         /// Id of the job.
--- a/crates/tallygauge-scheduler/src/lib.rs
+++ b/crates/tallygauge-scheduler/src/lib.rs
@@ -35,6 +35,7 @@
 mod task_status;
 #[cfg(test)]
 mod tests;
+mod worker_leases;
 
 pub use batch_deadlines::CutoffStatus;
 pub use cluster_state::ClusterState;
--- a/crates/tallygauge-scheduler/src/machines.rs
+++ b/crates/tallygauge-scheduler/src/machines.rs
@@ -1,5 +1,4 @@
-//! Machines: registration, expiry of worker leases, and the decision to return a
-//! machine to the cloud.
+//! Machines: registration, and the decision to return a machine to the cloud.
 
 use crate::{cluster_state::ClusterState, model::*};
 use std::collections::{BTreeSet, HashMap};
@@ -147,22 +146,6 @@
         self.workers.remove(name);
     }
 
-    /// Latest time at which the lease of the worker's current incarnation expires if no
-    /// further heartbeat is answered.
-    #[must_use]
-    pub fn lease_expiry(&self, worker: &Worker) -> f64 {
-        let earlier_leaders_fenced_at = worker.fencing_token_seen_at.unwrap_or_else(|| {
-            // An earlier leader that could not confirm its term may have answered
-            // heartbeats until its fencing timeout.
-            self.term_started_at + self.config.with_clock_drift(self.config.fencing_timeout_s)
-        });
-        worker
-            .lease_renewed_at
-            .max(earlier_leaders_fenced_at)
-            .max(worker.incarnation_seen_at)
-            + self.config.with_clock_drift(self.config.lease_s)
-    }
-
     /// Applies the passage of time: ends attempts whose leases have expired, decides
     /// which machines to return, and stops attempts on those and on machines that the
     /// cloud is about to reclaim.
@@ -183,31 +166,6 @@
         }
     }
 
-    /// Ends the attempts on workers whose lease has expired.
-    fn expire_leases(&mut self, now: f64) {
-        let expired: Vec<String> = self
-            .workers
-            .values()
-            .filter(|worker| !worker.attempts.is_empty() && now > self.lease_expiry(worker))
-            .map(|worker| worker.name.clone())
-            .collect();
-        let lease_s = self.config.with_clock_drift(self.config.lease_s);
-        for machine in expired {
-            let Some(worker) = self.workers.get(&machine) else {
-                continue;
-            };
-            let incarnations = worker.attempts.iter().map(|attempt| attempt.incarnation);
-            let last_incarnation = incarnations.max().unwrap_or(0).max(worker.incarnation);
-            let lease_expiry = self.lease_expiry(worker);
-            if let Some(worker) = self.workers.get_mut(&machine) {
-                worker.last_dead_incarnation = worker.last_dead_incarnation.max(last_incarnation);
-            }
-            self.end_attempts(&machine, now, |attempt| {
-                now > attempt.latest_end(lease_expiry, lease_s)
-            });
-        }
-    }
-
     /// All reasons for which a machine should be returned to the cloud now; empty if it should
     /// be kept.
     fn return_reasons(&self, worker: &Worker, now: f64) -> Vec<ReturnReason> {
--- a/crates/tallygauge-scheduler/src/model/attempt.rs
+++ b/crates/tallygauge-scheduler/src/model/attempt.rs
@@ -183,6 +183,13 @@
         self.stop = Some(StopDecision { reason, at: now });
     }
 
+    /// Whether it is to be stopped because its job has ended.
+    #[must_use]
+    pub fn is_cancelled(&self) -> bool {
+        self.stop
+            .is_some_and(|stop| stop.reason == StopReason::Cancelled)
+    }
+
     /// Whether a heartbeat has reported its end.
     #[must_use]
     pub fn is_ended(&self) -> bool {
--- a/crates/tallygauge-scheduler/src/model/worker.rs
+++ b/crates/tallygauge-scheduler/src/model/worker.rs
@@ -82,6 +82,8 @@
     pub last_dead_incarnation: u64,
     /// When a heartbeat first carried this leader's fencing token.
     pub fencing_token_seen_at: Option<f64>,
+    /// Since when its heartbeats are not answered so that its lease expires.
+    pub renewal_withheld_since: Option<f64>,
     /// When its lease was last renewed by the response to a heartbeat.
     pub lease_renewed_at: f64,
     /// When the last heartbeat arrived.
@@ -139,6 +141,7 @@
             booted_at: None,
             last_dead_incarnation: 0,
             fencing_token_seen_at: None,
+            renewal_withheld_since: None,
             lease_renewed_at: f64::NEG_INFINITY,
             last_heartbeat_at: f64::NEG_INFINITY,
             spot_reclaim_at: None,
@@ -165,6 +168,7 @@
             && self.fencing_token_seen_at.is_some()
             && !self.is_being_returned()
             && self.spot_reclaim_at.is_none()
+            && self.renewal_withheld_since.is_none()
             && now - self.last_heartbeat_at < config.heartbeat_timeout_s()
             && self
                 .reachability
--- a/crates/tallygauge-scheduler/src/tests/return_decisions.rs
+++ b/crates/tallygauge-scheduler/src/tests/return_decisions.rs
@@ -13,22 +13,6 @@
     ReturnReason::Unreachable,
 ];
 
-/// When the job of [`cluster_with_undelivered_start`] is cancelled.
-const CANCELLED_AT: f64 = 101.0;
-
-/// A cluster whose machine `sa` may still get the start of a cancelled task, because the
-/// direct message with the start was given up.
-fn cluster_with_undelivered_start() -> ClusterState {
-    let mut c = cluster(&["sa"], 100.0);
-    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
-    round(&mut c, 100.0);
-    let message = c.take_direct_messages(100.0, 1.0).remove(0);
-    assert_eq!(message.started_attempts.len(), 1);
-    c.record_direct_message_result(&message, false, false, CANCELLED_AT);
-    c.remove_job("req-1", CANCELLED_AT);
-    c
-}
-
 /// Sends heartbeats without tasks until `until`, and answers them.
 fn send_empty_heartbeats(c: &mut ClusterState, until: f64) {
     let mut now = c.workers["sa"].last_heartbeat_at + 2.0;
--- /dev/null
+++ b/crates/tallygauge-scheduler/src/tests/worker_leases.rs
@@ -0,0 +1,62 @@
+//! Which heartbeats may be answered, so that they renew the lease of their worker.
+
+use super::*;
+
+/// Time after which the lease of a worker with an undelivered start is no longer renewed.
+const WITHHELD_AT: f64 = 100.0 + 17.5;
+
+#[test]
+fn lease_is_not_renewed_while_a_cancelled_task_may_still_start() {
+    let mut c = cluster_with_undelivered_start();
+    assert!(c.may_renew_lease("sa", CANCELLED_AT));
+    assert!(!c.may_renew_lease("sa", WITHHELD_AT));
+    let latest_renewal = c.config.fencing_timeout_s;
+    let lease_end = latest_renewal + c.config.with_clock_drift(c.config.lease_s);
+    assert!(lease_end < c.config.cancel_timeout_s);
+    assert!(!c.workers["sa"].accepts_work(CANCELLED_AT, &c.config));
+    let withheld = |c: &ClusterState| c.confirmation_backlog(WITHHELD_AT).withheld_leases;
+    assert_eq!(withheld(&c), 1);
+    // The next incarnation refuses the start.
+    let heartbeat = heartbeat_from("sa", 2, 900, TERM, vec![]);
+    c.apply_heartbeat(WITHHELD_AT + 20.0, &heartbeat, HeartbeatSource::Periodic);
+    assert!(c.may_renew_lease("sa", WITHHELD_AT + 20.0));
+    assert_eq!(withheld(&c), 0);
+    assert!(c.workers["sa"].attempts.is_empty());
+}
+
+#[test]
+fn lease_is_renewed_once_the_worker_has_shown_the_cancelled_attempt() {
+    let mut c = cluster_with_undelivered_start();
+    assert!(!c.may_renew_lease("sa", WITHHELD_AT));
+    let attempt = c.workers["sa"].attempts[0].number;
+    let running = task("req-1/0", attempt, TaskState::Running, None);
+    let heartbeat = heartbeat_from("sa", 1, 900, TERM, vec![running]);
+    c.apply_heartbeat(WITHHELD_AT, &heartbeat, HeartbeatSource::Periodic);
+    assert!(c.may_renew_lease("sa", WITHHELD_AT));
+    let commands = c.commands("sa", WITHHELD_AT);
+    assert!(
+        matches!(commands[..], [Command::Stop { .. }]),
+        "{commands:?}"
+    );
+}
+
+#[test]
+fn undelivered_start_of_an_active_job_leaves_the_lease_alone() {
+    let mut c = cluster(&["sa"], 100.0);
+    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
+    round(&mut c, 100.0);
+    let message = c.take_direct_messages(100.0, 1.0).remove(0);
+    c.record_direct_message_result(&message, false, false, 101.0);
+    assert!(c.may_renew_lease("sa", WITHHELD_AT));
+}
+
+#[test]
+fn refused_start_of_a_cancelled_task_leaves_the_lease_alone() {
+    let mut c = cluster(&["sa"], 100.0);
+    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
+    round(&mut c, 100.0);
+    let message = c.take_direct_messages(100.0, 1.0).remove(0);
+    c.record_direct_message_result(&message, false, true, 101.0);
+    c.remove_job("req-1", 101.0);
+    assert!(c.may_renew_lease("sa", WITHHELD_AT));
+}
--- a/crates/tallygauge-sim/tests/unconfirmed_cancellation.rs
+++ b/crates/tallygauge-sim/tests/unconfirmed_cancellation.rs
@@ -5,11 +5,16 @@
 use tallygauge::controller::Controller;
 use tallygauge_sim::{
     CANCEL_TIMEOUT_S, HEARTBEAT_INTERVAL_S, JobShape, Simulation, cancel_until_confirmed,
-    eventually, is_active_leader, sleep_s, submit_job, submit_job_with_shape, wait_until_done,
+    count_starts, eventually, is_active_leader, sleep_s, submit_job, submit_job_with_shape,
+    wait_until_done,
 };
 
-/// How long direct commands are held: until well after the cancel timeout.
-const HOLD_S: f64 = CANCEL_TIMEOUT_S * 1.5;
+/// A hold of direct commands that ends well after the cancel timeout.
+const LONG_HOLD_S: f64 = CANCEL_TIMEOUT_S * 1.5;
+
+/// A hold that ends after the renewal of the worker's lease is withheld, and before the lease
+/// expires and before the machine is returned.
+const SHORT_HOLD_S: f64 = CANCEL_TIMEOUT_S * 0.6;
 
 /// Number of the first failing job.
 const FIRST_FAILING_JOB: u32 = 10;
@@ -40,13 +45,15 @@
     sleep_s(HEARTBEAT_INTERVAL_S).await;
 }
 
-/// Submits a job whose start is held in transit to the only machine, and cancels it at once.
+/// Submits a job whose start is held in transit to the only machine for `hold_s`, and cancels
+/// it at once.
 async fn cancel_job_with_held_start(
     simulation: &Simulation,
     controller: &Arc<Controller>,
     machine: &str,
+    hold_s: f64,
 ) -> String {
-    simulation.hold_commands(machine, HOLD_S);
+    simulation.hold_commands(machine, hold_s);
     let id = submit_job(simulation, controller, 1, 2, 1.0, 100.0).await;
     let is_held = eventually(HEARTBEAT_INTERVAL_S, async || {
         simulation.undelivered_starts(&id) == 2
@@ -60,8 +67,8 @@
 #[tokio::test(start_paused = true)]
 async fn held_start_of_cancelled_task_does_not_run_on_machine_returned_as_unconfirmed() {
     let (simulation, controller, machine) = start_with_one_machine().await;
-    cancel_job_with_held_start(&simulation, &controller, &machine).await;
-    sleep_s(HOLD_S + HEARTBEAT_INTERVAL_S).await;
+    cancel_job_with_held_start(&simulation, &controller, &machine, LONG_HOLD_S).await;
+    sleep_s(LONG_HOLD_S + HEARTBEAT_INTERVAL_S).await;
     assert!(!simulation.booted_machines().contains(&machine));
     submit_job(&simulation, &controller, 2, 1, 1.0, 1.0).await;
     sleep_s(HEARTBEAT_INTERVAL_S * 10.0).await;
@@ -72,8 +79,8 @@
 async fn held_start_of_cancelled_task_does_not_run_on_machine_already_decided_as_faulty() {
     let (simulation, controller, machine) = start_with_one_machine().await;
     submit_failing_jobs(&simulation, &controller, 2).await;
-    cancel_job_with_held_start(&simulation, &controller, &machine).await;
-    sleep_s(HOLD_S + HEARTBEAT_INTERVAL_S).await;
+    cancel_job_with_held_start(&simulation, &controller, &machine, LONG_HOLD_S).await;
+    sleep_s(LONG_HOLD_S + HEARTBEAT_INTERVAL_S).await;
     simulation.assert_invariants();
 }
 
@@ -82,8 +89,50 @@
     let (simulation, controller, machine) = start_with_one_machine().await;
     let earlier = submit_job(&simulation, &controller, 2, 1, 1.0, 1.0).await;
     assert!(wait_until_done(&controller, &earlier).await);
-    cancel_job_with_held_start(&simulation, &controller, &machine).await;
+    cancel_job_with_held_start(&simulation, &controller, &machine, LONG_HOLD_S).await;
+    simulation.set_faults(|faults| faults.cloud_down = true);
+    sleep_s(LONG_HOLD_S + HEARTBEAT_INTERVAL_S).await;
+    simulation.assert_invariants();
+}
+
+#[tokio::test(start_paused = true)]
+async fn task_beside_an_undelivered_start_runs_again_once_if_its_lease_is_not_renewed() {
+    let (simulation, controller, machine) = start_with_one_machine().await;
+    let other = submit_job(&simulation, &controller, 2, 1, 1.0, 60.0).await;
+    sleep_s(HEARTBEAT_INTERVAL_S).await;
+    cancel_job_with_held_start(&simulation, &controller, &machine, LONG_HOLD_S).await;
+    simulation.set_faults(|faults| faults.cloud_down = true);
+    sleep_s(LONG_HOLD_S + HEARTBEAT_INTERVAL_S).await;
+    simulation.set_faults(|faults| faults.cloud_down = false);
+    assert!(wait_until_done(&controller, &other).await);
+    assert_eq!(count_starts(&simulation), 2);
+    simulation.assert_invariants();
+}
+
+#[tokio::test(start_paused = true)]
+async fn task_beside_an_undelivered_start_keeps_running_if_the_start_arrives_in_time() {
+    let (simulation, controller, machine) = start_with_one_machine().await;
+    let other = submit_job(&simulation, &controller, 2, 1, 1.0, 60.0).await;
+    sleep_s(HEARTBEAT_INTERVAL_S).await;
+    let cancelled =
+        cancel_job_with_held_start(&simulation, &controller, &machine, SHORT_HOLD_S).await;
+    assert!(wait_until_done(&controller, &other).await);
+    assert_eq!(simulation.running_task_count(&cancelled), 0);
+    assert_eq!(count_starts(&simulation), 1 + 2, "the other task was lost");
+    assert!(simulation.booted_machines().contains(&machine));
+    simulation.assert_invariants();
+}
+
+#[tokio::test(start_paused = true)]
+async fn held_start_of_cancelled_task_does_not_run_after_a_failover() {
+    let (simulation, controller, machine) = start_with_one_machine().await;
+    let (_follower, _task) = simulation.start_controller("n-b");
+    let earlier = submit_job(&simulation, &controller, 2, 1, 1.0, 1.0).await;
+    assert!(wait_until_done(&controller, &earlier).await);
+    cancel_job_with_held_start(&simulation, &controller, &machine, LONG_HOLD_S).await;
     simulation.set_faults(|faults| faults.cloud_down = true);
-    sleep_s(HOLD_S + HEARTBEAT_INTERVAL_S).await;
+    controller.leadership.step_down("test");
+    sleep_s(LONG_HOLD_S + HEARTBEAT_INTERVAL_S).await;
+    assert!(simulation.state.lock().unwrap().rejected_commands > 0);
     simulation.assert_invariants();
 }
--- a/crates/tallygauge/src/event_log.rs
+++ b/crates/tallygauge/src/event_log.rs
@@ -55,6 +55,12 @@
         ClusterEvent::MachineReturnDecided { machine, reason } => {
             tracing::info!(machine, ?reason, "decided to return machine");
         }
+        ClusterEvent::LeaseRenewalWithheld { machine } => {
+            tracing::info!(
+                machine,
+                "withholding lease renewal, cancelled task may still start"
+            );
+        }
         ClusterEvent::StoppingEndedJob {
             job,
             attempts,
--- a/crates/tallygauge/src/summary.rs
+++ b/crates/tallygauge/src/summary.rs
@@ -77,6 +77,7 @@
         unconfirmed_cancellations = backlog.unconfirmed_cancellations,
         oldest_unconfirmed_s = backlog.oldest_unconfirmed_s as u64,
         indeterminate_starts = backlog.indeterminate_starts,
+        withheld_leases = backlog.withheld_leases,
         pending_returns = backlog.pending_returns,
         oldest_return_s = backlog.oldest_return_s as u64,
         jobs = cluster.jobs.len(),
--- a/crates/tallygauge/src/worker_api.rs
+++ b/crates/tallygauge/src/worker_api.rs
@@ -39,14 +39,17 @@
     Fenced,
     /// The heartbeat is a late or duplicated one, or of an agent incarnation that has ended.
     OutOfDate,
+    /// A cancelled task may still start on the machine unless the lease expires.
+    CancellationUnconfirmed,
 }
 
 /// Outcome of processing a heartbeat on this controller.
 enum HeartbeatEffect {
-    /// The heartbeat was applied to the cluster state. `needs_scheduling` says whether the
-    /// scheduling loop has to process the change.
+    /// The heartbeat was applied to the cluster state. There is no response if the worker's
+    /// lease must not be renewed. `needs_scheduling` says whether the scheduling loop has to
+    /// process the change.
     Applied {
-        response: HeartbeatResponse,
+        response: Option<HeartbeatResponse>,
         needs_scheduling: bool,
     },
     /// The leader must not accept the heartbeat: the reply is 503.
@@ -111,12 +114,12 @@
                 controller.wake_scheduler.notify_one();
                 controller.wake_completions.notify_one();
             }
-            HeartbeatReply::Accepted(response)
-        }
-        HeartbeatEffect::Refused(reason) => {
-            tracing::debug!(machine = heartbeat.machine, ?reason, "refused heartbeat");
-            HeartbeatReply::Unavailable
+            response.map_or_else(
+                || refuse(&heartbeat, RefusalReason::CancellationUnconfirmed),
+                HeartbeatReply::Accepted,
+            )
         }
+        HeartbeatEffect::Refused(reason) => refuse(&heartbeat, reason),
         HeartbeatEffect::Superseded(higher_term) => {
             controller.observe_term(higher_term, None);
             redirect_to_leader(controller)
@@ -125,6 +128,11 @@
     }
 }
 
+fn refuse(heartbeat: &Heartbeat, reason: RefusalReason) -> HeartbeatReply {
+    tracing::debug!(machine = heartbeat.machine, ?reason, "refused heartbeat");
+    HeartbeatReply::Unavailable
+}
+
 fn parse_heartbeat(body: &[u8]) -> Result<Heartbeat, serde_json::Error> {
     serde_json::from_slice(body).inspect_err(|error| {
         if is_first_occurrence(&format!("heartbeat: {error}")) {
@@ -161,14 +169,17 @@
             return HeartbeatEffect::Refused(RefusalReason::OutOfDate);
         }
     }
-    let needs_scheduling = std::mem::take(&mut cluster.needs_scheduling);
-    let commands = cluster.commands(&heartbeat.machine, now);
-    cluster.record_heartbeat_response(&heartbeat.machine, &commands, now);
     leadership.last_worker_heartbeat_at = now;
-    let response = HeartbeatResponse {
-        token: leadership.term,
-        commands,
-    };
+    let needs_scheduling = std::mem::take(&mut cluster.needs_scheduling);
+    let may_renew_lease = cluster.may_renew_lease(&heartbeat.machine, now);
+    let response = may_renew_lease.then(|| {
+        let commands = cluster.commands(&heartbeat.machine, now);
+        cluster.record_heartbeat_response(&heartbeat.machine, &commands, now);
+        HeartbeatResponse {
+            token: leadership.term,
+            commands,
+        }
+    });
     HeartbeatEffect::Applied {
         response,
         needs_scheduling,
