Drawn scenarios: held starts of cancelled jobs, failing jobs, cloud outages

Change: four more kinds of faults. The direct commands to half of the machines are held for 0.3 to 2.5 cancel timeouts while a job is submitted and cancelled; a job fails everywhere until its user cancels it after the faults; the cloud is out until another draw ends it.

--- a/crates/tallygauge-sim/src/scenario.rs
+++ b/crates/tallygauge-sim/src/scenario.rs
@@ -32,6 +32,9 @@
 /// Number of jobs that are submitted while faults are injected.
 const JOB_COUNT: u32 = 14;
 
+/// Number of the first job that a fault submits.
+const FIRST_EXTRA_JOB_NUMBER: u32 = 200;
+
 /// The fault kinds `CancelJob` and `CancelManyJobs` take effect only after more submissions
 /// than this.
 const JOBS_BEFORE_CANCELLATION: u32 = 3;
@@ -39,6 +42,12 @@
 /// Seconds before the first submission, in which a leader is elected.
 const STARTUP_S: f64 = 5.0;
 
+/// Number of requests after which a user no longer repeats a cancellation.
+const MAX_CANCELLATION_REQUESTS: usize = 60;
+
+/// Time between two requests for the same cancellation, in seconds.
+const CANCELLATION_RETRY_S: f64 = 1.0;
+
 /// How long a user retries the submission of a job.
 const SUBMISSION_TIMEOUT: Duration = Duration::from_secs(25);
 
@@ -49,6 +58,10 @@
     controllers: Vec<(Arc<Controller>, JoinHandle<()>)>,
     /// Accepted jobs.
     jobs: Vec<TrackedJob>,
+    /// Number of the next job that a fault submits.
+    next_extra_job_number: u32,
+    /// Ids of the jobs that fail on every machine, until their user cancels them.
+    failing_jobs: Vec<String>,
     /// Violations found by the checks of the scenario: incorrect or missing replies to
     /// users, and jobs that are not started although there is capacity.
     violations: Vec<String>,
@@ -137,6 +150,7 @@
         scenario.poll_some_jobs().await;
     }
     scenario.end_faults();
+    scenario.cancel_failing_jobs().await;
     scenario.inject_violation(injected).await;
     scenario.check_until_done(min_run_time_s, injected).await;
     scenario.into_violations()
@@ -156,6 +170,8 @@
             simulation,
             controllers,
             jobs: Vec::new(),
+            next_extra_job_number: FIRST_EXTRA_JOB_NUMBER,
+            failing_jobs: Vec::new(),
             violations: Vec::new(),
             random,
         }
@@ -224,6 +240,27 @@
         job
     }
 
+    fn next_extra_job_number(&mut self) -> u32 {
+        let number = self.next_extra_job_number;
+        self.next_extra_job_number += 1;
+        number
+    }
+
+    /// Cancels the jobs that fail on every machine, through each controller in turn until one
+    /// confirms it.
+    async fn cancel_failing_jobs(&mut self) {
+        for id in std::mem::take(&mut self.failing_jobs) {
+            for attempt in 0..MAX_CANCELLATION_REQUESTS {
+                let is_open = |job: &TrackedJob| job.id == id && job.final_status.is_none();
+                if !self.jobs.iter().any(is_open) {
+                    break;
+                }
+                self.cancel(attempt % CONTROLLER_COUNT, &id).await;
+                sleep_s(CANCELLATION_RETRY_S).await;
+            }
+        }
+    }
+
     /// Waits a random time before the next fault. Half of the waits are so short
     /// that the fault immediately follows the previous one.
     async fn sleep_before_fault(&mut self) {
@@ -258,6 +295,8 @@
             faults.duplicated_heartbeats = RandomDelay::NONE;
             faults.lose_next_responses = 0;
             faults.lost_response_probability = 0.0;
+            faults.commands_held_until.clear();
+            faults.cloud_down = false;
         }
         for machine in self.simulation.booted_machines() {
             self.simulation.set_inbound_blocked(&machine, false);
--- a/crates/tallygauge-sim/src/scenario/faults.rs
+++ b/crates/tallygauge-sim/src/scenario/faults.rs
@@ -1,7 +1,9 @@
 //! Random fault injection for scenarios.
 
 use super::{CONTROLLER_COUNT, Scenario};
-use crate::{CANCEL_TIMEOUT_S, FaultPoint, JobRequest, LEASE_S, RandomDelay};
+use crate::{
+    CANCEL_TIMEOUT_S, FaultPoint, HEARTBEAT_INTERVAL_S, JobRequest, JobShape, LEASE_S, RandomDelay,
+};
 use rand::RngExt;
 use std::time::Duration;
 
@@ -38,10 +40,14 @@
     ReplayHeartbeats,
     DestroyMachine,
     InvalidRequests,
+    HoldStartsOfCancelledJob,
+    SubmitFailingJob,
+    StartCloudOutage,
+    EndCloudOutage,
 }
 
 /// All kinds of faults; the index is drawn.
-const FAULT_KINDS: [FaultKind; 29] = [
+const FAULT_KINDS: [FaultKind; 33] = [
     FaultKind::RestartController,
     FaultKind::RestartAllControllers,
     FaultKind::PartitionFromStore,
@@ -71,6 +77,10 @@
     FaultKind::ReplayHeartbeats,
     FaultKind::DestroyMachine,
     FaultKind::InvalidRequests,
+    FaultKind::HoldStartsOfCancelledJob,
+    FaultKind::SubmitFailingJob,
+    FaultKind::StartCloudOutage,
+    FaultKind::EndCloudOutage,
 ];
 
 /// Prefixes of controllers' requests (method and path) before or after which faults are
@@ -128,6 +138,7 @@
         if let FaultKind::InvalidRequests = kind {
             self.send_invalid_requests(controller, latest).await;
         }
+        self.submit_troubled_job(kind, controller).await;
     }
 
     /// Draws a booted machine; `None` if there is none.
@@ -165,6 +176,8 @@
             FaultKind::DelayCommands => faults.delayed_commands = DELAYED_COMMANDS,
             FaultKind::HealStorePartitions => faults.store_partitioned.clear(),
             FaultKind::ServeAllControllers => faults.store_refused.clear(),
+            FaultKind::StartCloudOutage => faults.cloud_down = true,
+            FaultKind::EndCloudOutage => faults.cloud_down = false,
             _ => {}
         }
     }
@@ -247,6 +260,52 @@
         }
     }
 
+    /// Submits a job that fails everywhere, or one that is cancelled while its starts are held;
+    /// no effect for other kinds.
+    async fn submit_troubled_job(&mut self, kind: FaultKind, controller: usize) {
+        match kind {
+            FaultKind::SubmitFailingJob => self.submit_failing_job().await,
+            FaultKind::HoldStartsOfCancelledJob => {
+                self.hold_starts_of_cancelled_job(controller).await;
+            }
+            _ => {}
+        }
+    }
+
+    /// Submits a job whose tasks fail on every machine. Its user cancels it after the faults
+    /// have ended.
+    async fn submit_failing_job(&mut self) {
+        let shape = JobShape {
+            tasks: self.random.random_range(1..4),
+            run_s: self.random.random_range(0.5..4.0),
+            fails: true,
+            ..JobShape::default()
+        };
+        let number = self.next_extra_job_number();
+        let job = self.submit(number, shape).await;
+        self.failing_jobs.push(job.id);
+    }
+
+    /// Holds the direct commands to half of the machines, submits a job and cancels it before
+    /// the next heartbeats can start its tasks. The other faults go on during the hold.
+    async fn hold_starts_of_cancelled_job(&mut self, controller: usize) {
+        let hold_s = CANCEL_TIMEOUT_S * self.random.random_range(0.3..2.5);
+        for machine in self.simulation.booted_machines() {
+            if self.random.random() {
+                self.simulation.hold_commands(&machine, hold_s);
+            }
+        }
+        let shape = JobShape {
+            tasks: self.random.random_range(1..9),
+            run_s: self.random.random_range(1.0..CANCEL_TIMEOUT_S),
+            ..JobShape::default()
+        };
+        let number = self.next_extra_job_number();
+        let job = self.submit(number, shape).await;
+        self.sleep_between(0.02, HEARTBEAT_INTERVAL_S).await;
+        self.cancel(controller, &job.id).await;
+    }
+
     /// Draws a new boot time for machines, and sends invalid submissions.
     async fn send_invalid_requests(&mut self, controller: usize, latest: &JobRequest) {
         let boot_time_s = [0.1, 2.0][self.random.random_range(0..2)];
