Simulation: inject "done too soon" on a job that is surely completed

Change: the violation runs a job of its own to completion and forgets that one, as the other violations do. The check is the same, and depends on no draw any more.

--- a/crates/tallygauge-sim/src/scenario/checks.rs
+++ b/crates/tallygauge-sim/src/scenario/checks.rs
@@ -3,7 +3,7 @@
 //! can be injected to test these checks and those of the simulation.
 
 use super::{CONTROLLER_COUNT, Scenario, jobs::TrackedJob};
-use crate::sleep_s;
+use crate::{eventually, sleep_s};
 
 /// Longest time that a job may remain unstarted while a machine has capacity for one of its
 /// tasks, in seconds.
@@ -71,7 +71,14 @@
             InjectedViolation::JobLost => {
                 self.jobs.push(TrackedJob::new("req-000777".into(), 1));
             }
-            InjectedViolation::DoneTooSoon => self.simulation.forget_completions("req-000001"),
+            InjectedViolation::DoneTooSoon => {
+                let id = self.submit_violating_job(1.0).await;
+                let is_completed = eventually(BASE_COMPLETION_TIMEOUT_S, async || {
+                    self.simulation.all_tasks_completed(&id, 1)
+                });
+                assert!(is_completed.await, "job to be forgotten was not completed");
+                self.simulation.forget_completions(&id);
+            }
             InjectedViolation::NothingPlaced => {
                 self.simulation
                     .state
