Tests: check what two titles say

Cause: `ranks_take_effect_only_once_stored` set no fault (0 lost responses), so the ranks were stored at once; the test of a restarted agent compared a count with the greater of itself and another, so it only bounded it from below.

Change: the writes of the ranks hang for ten heartbeat intervals, during which the controller must lead, the record must not be written and the ranks not be in force. The attempts must be the very same before and after the heartbeat in question.

--- a/crates/tallygauge-scheduler/src/tests/reachability.rs
+++ b/crates/tallygauge-scheduler/src/tests/reachability.rs
@@ -374,6 +374,7 @@
     let tasks_before = agent.tasks.len();
     assert!(tasks_before > 0);
     let newest = c.workers["sa"].message_order.newest;
+    let attempts_before = c.jobs["req-1"].attempts_by_task.clone();
     // The agent restarts within a fraction of a second, without its tasks.
     agent = SimulatedAgent::new(now);
     (agent.sequence, agent.token) = (0, 0);
@@ -384,8 +385,8 @@
         HeartbeatOutcome::Stale
     );
     assert_eq!(
-        c.jobs["req-1"].attempts_by_task.len(),
-        tasks_before.max(c.jobs["req-1"].attempts_by_task.len())
+        c.jobs["req-1"].attempts_by_task, attempts_before,
+        "a heartbeat that may be a duplicate ended or added attempts"
     );
     // It answers a probe with its own low sequence number, and with the fencing token that
     // the probe carried.
--- a/crates/tallygauge-sim/tests/batch_deadlines.rs
+++ b/crates/tallygauge-sim/tests/batch_deadlines.rs
@@ -139,25 +139,44 @@
     simulation.assert_invariants();
 }
 
+/// Number of times that a record of priority rules was written.
+fn priority_rules_written(simulation: &Simulation) -> usize {
+    simulation.count_changes("s/ledger")
+}
+
 // Ranks are stored before they apply: while they can't be stored they are not in force.
 // This must not keep a controller from leading, nor must records that can't be parsed.
 #[tokio::test(start_paused = true)]
 async fn ranks_take_effect_only_once_stored() {
     let simulation = Simulation::new();
     tokio::spawn(simulation.clone().run_workers());
-    // The third leader below finds records that can't be parsed.
-    simulation.set_faults(|faults| faults.lose_next_responses = 0);
+    let earlier = priority_rules_written(&simulation);
+    simulation.set_faults(|faults| faults.hang_writes_with_prefix = Some("s/ledger"));
     let (controller_a, task_a) = simulation.start_controller_with("n-a", settings(5, 50));
     assert!(eventually(30.0, async || is_active_leader(&controller_a)).await);
+    sleep_s(HEARTBEAT_INTERVAL_S * 10.0).await;
+    assert_eq!(priority_rules_written(&simulation), earlier);
+    assert!(
+        is_active_leader(&controller_a),
+        "unstored ranks ended the term"
+    );
+    assert_ne!(
+        priority_rules_in_force(&controller_a),
+        Some((1, 5)),
+        "the ranks are in force before they are stored"
+    );
+    simulation.set_faults(|faults| faults.hang_writes_with_prefix = None);
     assert!(
         eventually(10.0, async || priority_rules_in_force(&controller_a)
             == Some((1, 5)))
         .await
     );
+    assert!(priority_rules_written(&simulation) > earlier);
     simulation.crash_controller("n-a", &task_a);
     let (controller_b, task_b) = simulation.start_controller("n-b");
     assert!(eventually(30.0, async || is_active_leader(&controller_b)).await);
     simulation.crash_controller("n-b", &task_b);
+    // The third leader finds records that can't be parsed.
     let unreadable = Transaction {
         conditions: Vec::new(),
         writes: ["s/ledger", "s/calendar", "s/images/0", "s/floor"]
