--- a/crates/tallygauge-scheduler/src/attempt_accounting.rs
+++ b/crates/tallygauge-scheduler/src/attempt_accounting.rs
@@ -1,7 +1,11 @@
 //! Accounting of attempts in the free resources of workers, the counts of jobs, the quota
 //! usage of teams and the placement batches, and requeueing of tasks.
 
-use crate::{cluster_state::ClusterState, events::ClusterEvent, model::*};
+use crate::{
+    cluster_state::ClusterState,
+    events::{AttemptEvent, ClusterEvent},
+    model::*,
+};
 use std::collections::BTreeMap;
 use tallygauge_protocol::users::MIN_COUNTED_RUN_S;
 
@@ -38,10 +42,10 @@
         for attempt in self.remove_attempts(machine, has_ended) {
             if attempt.occupies_capacity() {
                 self.requeue_lost(machine, &attempt, now);
-                self.events.push(ClusterEvent::AttemptLost {
+                self.events.push(ClusterEvent::Attempt(AttemptEvent::Lost {
                     task: attempt.task_name(),
                     machine: machine.to_string(),
-                });
+                }));
             }
             // An ended attempt needs nothing here, even if its end is not durable yet: a
             // completed task counts as soon as its worker has reported it.
--- a/crates/tallygauge-scheduler/src/batch_deadlines/mod.rs
+++ b/crates/tallygauge-scheduler/src/batch_deadlines/mod.rs
@@ -6,7 +6,11 @@
 
 pub(crate) mod state;
 
-use crate::{cluster_state::ClusterState, events::ClusterEvent, model::*};
+use crate::{
+    cluster_state::ClusterState,
+    events::{ClusterEvent, CutoffAlert},
+    model::*,
+};
 use std::{collections::BTreeMap, sync::Arc};
 use tallygauge_deadlines::{
     CutoffEvent, CutoffLoad, CutoffRule, CutoffWindow, DeadlineTracker, Forecast, forecast_cutoffs,
@@ -122,10 +126,10 @@
             && let Some(CutoffEvent::Opened(name)) =
                 self.batch_deadlines.tracker.track_cutoff(&window)
         {
-            self.events.push(ClusterEvent::CutoffOpened {
+            self.events.push(ClusterEvent::Cutoff(CutoffAlert::Opened {
                 cutoff: name,
                 is_declared: window.declared,
-            });
+            }));
         }
     }
 
@@ -231,14 +235,14 @@
         for ((name, work), forecast) in work.iter().zip(forecasts.values()) {
             let previous = self.batch_deadlines.forecasts.get(name);
             if forecast.at_risk && !previous.is_some_and(|f| f.at_risk) {
-                events.push(ClusterEvent::CutoffAtRisk {
+                events.push(ClusterEvent::Cutoff(CutoffAlert::AtRisk {
                     cutoff: name.clone(),
                     is_declared: work.declared,
                     open_jobs: work.jobs,
                     remaining_cpu_s: work.cpu_s,
                     late_s: -forecast.slack_s,
                     missing_cpus: forecast.missing_cpus,
-                });
+                }));
             }
         }
         events
@@ -324,15 +328,17 @@
 /// The event that tells operators what became of a cutoff when it was checked for expiry.
 fn expiry_event(event: CutoffEvent, open_jobs: &dyn Fn(&str) -> usize) -> ClusterEvent {
     match event {
-        CutoffEvent::Opened(cutoff) => ClusterEvent::CutoffOpened {
+        CutoffEvent::Opened(cutoff) => ClusterEvent::Cutoff(CutoffAlert::Opened {
             cutoff,
             is_declared: true,
-        },
-        CutoffEvent::Missed(cutoff) => ClusterEvent::CutoffPassed {
+        }),
+        CutoffEvent::Missed(cutoff) => ClusterEvent::Cutoff(CutoffAlert::Passed {
             open_jobs: open_jobs(&cutoff),
             cutoff,
-        },
-        CutoffEvent::Closed(cutoff, true, _) => ClusterEvent::CutoffMet { cutoff },
-        CutoffEvent::Closed(cutoff, false, late_s) => ClusterEvent::CutoffMissed { cutoff, late_s },
+        }),
+        CutoffEvent::Closed(cutoff, true, _) => ClusterEvent::Cutoff(CutoffAlert::Met { cutoff }),
+        CutoffEvent::Closed(cutoff, false, late_s) => {
+            ClusterEvent::Cutoff(CutoffAlert::Missed { cutoff, late_s })
+        }
     }
 }
--- a/crates/tallygauge-scheduler/src/cluster_state.rs
+++ b/crates/tallygauge-scheduler/src/cluster_state.rs
@@ -1,10 +1,16 @@
 //! The cluster state: the leader's model of jobs, workers and teams.
 
 use crate::{
-    batch_deadlines::state::BatchDeadlines, commands::InFlightMessages,
-    completion_pages::CompletionPages, demand_history::DemandHistory, events::ClusterEvent,
-    minimum_share::state::MinimumShare, model::*, range_set::RangeSet,
-    reconciliation::state::ReconciliationCursor, runtime_estimates::RuntimeRatio,
+    batch_deadlines::state::BatchDeadlines,
+    commands::InFlightMessages,
+    completion_pages::CompletionPages,
+    demand_history::DemandHistory,
+    events::{ClusterEvent, JobEvent},
+    minimum_share::state::MinimumShare,
+    model::*,
+    range_set::RangeSet,
+    reconciliation::state::ReconciliationCursor,
+    runtime_estimates::RuntimeRatio,
     start_deadline::state::StartDeadlines,
 };
 use std::{
@@ -242,11 +248,11 @@
             }
         }
         if stopped > 0 {
-            self.events.push(ClusterEvent::StoppingEndedJob {
+            self.events.push(ClusterEvent::Job(JobEvent::Stopping {
                 job: job.spec.id.clone(),
                 attempts: stopped,
                 undelivered_starts,
-            });
+            }));
         }
     }
 
--- a/crates/tallygauge-scheduler/src/events.rs
+++ b/crates/tallygauge-scheduler/src/events.rs
@@ -42,24 +42,35 @@
         /// Name of the machine.
         machine: String,
     },
-    /// A job has ended, and its attempts that have not ended are to be stopped.
-    StoppingEndedJob {
-        /// Id of the job.
-        job: String,
-        /// Number of attempts to be stopped.
-        attempts: usize,
-        /// Numbers of those among them whose start may still arrive at their workers.
-        undelivered_starts: Vec<u64>,
+    /// Jobs of underserved groups take precedence from now on.
+    MinimumShareEnforced {
+        /// Number of jobs that take precedence.
+        jobs: usize,
+        /// The groups that are below their minimum share.
+        groups: Vec<UnderservedGroup>,
     },
+    /// No group is underserved any more.
+    MinimumShareReached,
+    /// Something that happened to an attempt.
+    Attempt(AttemptEvent),
+    /// A step in the life of a job.
+    Job(JobEvent),
+    /// A change of a batch deadline.
+    Cutoff(CutoffAlert),
+}
+
+/// Something that happened to an attempt. Durations are in seconds.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AttemptEvent {
     /// An attempt was lost because its agent incarnation has ended.
-    AttemptLost {
+    Lost {
         /// Name of the task, `JOB/INDEX`.
         task: String,
         /// Name of the machine that it was on.
         machine: String,
     },
     /// An attempt is stopped for a job that takes precedence.
-    AttemptPreempted {
+    Preempted {
         /// Name of the task, `JOB/INDEX`.
         task: String,
         /// Name of the machine that it is on.
@@ -68,7 +79,7 @@
         preempted_by: String,
     },
     /// An attempt ended without completing its task.
-    AttemptEnded {
+    Ended {
         /// Name of the task, `JOB/INDEX`.
         task: String,
         /// Name of the machine that it was on.
@@ -78,8 +89,22 @@
         /// Whether its checkpoint was saved, if the worker said so.
         checkpointed: Option<bool>,
     },
+}
+
+/// A step in the life of a job. Durations are in seconds.
+#[derive(Debug, Clone, PartialEq)]
+pub enum JobEvent {
+    /// A job has ended, and its attempts that have not ended are to be stopped.
+    Stopping {
+        /// Id of the job.
+        job: String,
+        /// Number of attempts to be stopped.
+        attempts: usize,
+        /// Numbers of those among them whose start may still arrive at their workers.
+        undelivered_starts: Vec<u64>,
+    },
     /// A task of a job was seen running for the first time.
-    JobStarted {
+    Started {
         /// Id of the job.
         job: String,
         /// Time since the job was accepted.
@@ -90,7 +115,7 @@
         tasks: u32,
     },
     /// No task of a job is pending any more.
-    JobPlaced {
+    Placed {
         /// Id of the job.
         job: String,
         /// Time since the job was accepted.
@@ -102,15 +127,20 @@
         /// Whether it is among the largest jobs of its class.
         is_large: bool,
     },
+}
+
+/// A change of a batch deadline. Durations are in seconds.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CutoffAlert {
     /// The first job that counts for a cutoff was added.
-    CutoffOpened {
+    Opened {
         /// Name of the cutoff.
         cutoff: Arc<str>,
         /// Whether an operator declared the cutoff; otherwise it was inferred from jobs.
         is_declared: bool,
     },
     /// A cutoff is expected to be missed.
-    CutoffAtRisk {
+    AtRisk {
         /// Name of the cutoff.
         cutoff: Arc<str>,
         /// Whether an operator declared the cutoff; otherwise it was inferred from jobs.
@@ -125,33 +155,24 @@
         missing_cpus: f64,
     },
     /// The time of a cutoff passed while it had open jobs.
-    CutoffPassed {
+    Passed {
         /// Name of the cutoff.
         cutoff: Arc<str>,
         /// Number of jobs that are not completed.
         open_jobs: usize,
     },
     /// All jobs of a cutoff were completed in time.
-    CutoffMet {
+    Met {
         /// Name of the cutoff.
         cutoff: Arc<str>,
     },
     /// All jobs of a cutoff are completed, the last one after the cutoff.
-    CutoffMissed {
+    Missed {
         /// Name of the cutoff.
         cutoff: Arc<str>,
         /// How long after the cutoff the last job was completed.
         late_s: f64,
     },
-    /// Jobs of underserved groups take precedence from now on.
-    MinimumShareEnforced {
-        /// Number of jobs that take precedence.
-        jobs: usize,
-        /// The groups that are below their minimum share.
-        groups: Vec<UnderservedGroup>,
-    },
-    /// No group is underserved any more.
-    MinimumShareReached,
 }
 
 /// A group of jobs that is below its minimum share.
--- a/crates/tallygauge-scheduler/src/lib.rs
+++ b/crates/tallygauge-scheduler/src/lib.rs
@@ -42,7 +42,7 @@
 pub use commands::DirectMessage;
 pub use completion_pages::{ChunkId, CompletionPageRecord, CompletionPages, PageFlush, PageWrite};
 pub use confirmation_backlog::ConfirmationBacklog;
-pub use events::{ClusterEvent, UnderservedGroup};
+pub use events::{AttemptEvent, ClusterEvent, CutoffAlert, JobEvent, UnderservedGroup};
 pub use heartbeats::{HeartbeatOutcome, HeartbeatSource};
 pub use machines::CpuUsage;
 pub use mapping::RoundOutcome;
--- a/crates/tallygauge-scheduler/src/machines.rs
+++ b/crates/tallygauge-scheduler/src/machines.rs
@@ -96,37 +96,10 @@
         let accurate_until =
             requested_at - 2.0 * self.config.list_lag_s - self.config.timing_margin_s();
         self.tombstones.expire(now);
-        let mut listed = BTreeSet::new();
         for machine in machines {
-            listed.insert(machine.name.as_str());
-            if self
-                .tombstones
-                .overrules_listing(&machine.name, accurate_until)
-            {
-                continue;
-            }
-            self.register_machine(
-                &machine.name,
-                &machine.machine_type,
-                &machine.zone,
-                machine.spot,
-                &machine.endpoint,
-                now,
-            );
-            let Some(worker) = self.workers.get_mut(&machine.name) else {
-                continue;
-            };
-            worker.rented_at = worker.rented_at.min(now - machine.age_s);
-            if machine.state == MachineState::Running {
-                worker.booted_at.get_or_insert(now);
-            }
-            if machine.state == MachineState::Failed
-                && worker.decide_return(ReturnReason::Failed, now, &mut self.events)
-            {
-                worker.last_dead_incarnation = worker.last_dead_incarnation.max(worker.incarnation);
-                self.end_incarnation(&machine.name, u64::MAX, now);
-            }
+            self.apply_listed_machine(machine, accurate_until, now);
         }
+        let listed: BTreeSet<&str> = machines.iter().map(|m| m.name.as_str()).collect();
         let nonexistent: Vec<String> = self
             .workers
             .values()
@@ -139,6 +112,38 @@
         nonexistent
     }
 
+    /// Applies one entry of a machine list that contains every machine that was known at
+    /// `accurate_until`.
+    fn apply_listed_machine(&mut self, machine: &Machine, accurate_until: f64, now: f64) {
+        if self
+            .tombstones
+            .overrules_listing(&machine.name, accurate_until)
+        {
+            return;
+        }
+        self.register_machine(
+            &machine.name,
+            &machine.machine_type,
+            &machine.zone,
+            machine.spot,
+            &machine.endpoint,
+            now,
+        );
+        let Some(worker) = self.workers.get_mut(&machine.name) else {
+            return;
+        };
+        worker.rented_at = worker.rented_at.min(now - machine.age_s);
+        if machine.state == MachineState::Running {
+            worker.booted_at.get_or_insert(now);
+        }
+        if machine.state == MachineState::Failed
+            && worker.decide_return(ReturnReason::Failed, now, &mut self.events)
+        {
+            worker.last_dead_incarnation = worker.last_dead_incarnation.max(worker.incarnation);
+            self.end_incarnation(&machine.name, u64::MAX, now);
+        }
+    }
+
     /// Removes a machine that certainly no longer exists, and ends its attempts.
     pub fn deregister_machine(&mut self, name: &str, now: f64) {
         self.end_incarnation(name, u64::MAX, now);
--- a/crates/tallygauge-scheduler/src/mapping/mod.rs
+++ b/crates/tallygauge-scheduler/src/mapping/mod.rs
@@ -22,7 +22,11 @@
 mod round_state;
 mod utility;
 
-use crate::{cluster_state::ClusterState, events::ClusterEvent, model::*};
+use crate::{
+    cluster_state::ClusterState,
+    events::{AttemptEvent, ClusterEvent, JobEvent},
+    model::*,
+};
 use round_state::{PlannedStart, PlannedStop, Round};
 
 /// What a scheduling round did.
@@ -158,11 +162,12 @@
             .filter(|a| a.number == *attempt_number)
         {
             attempt.request_stop(StopReason::Preempted, now);
-            self.events.push(ClusterEvent::AttemptPreempted {
-                task: attempt.task_name(),
-                machine: worker_name.clone(),
-                preempted_by: preemptor_job.clone(),
-            });
+            self.events
+                .push(ClusterEvent::Attempt(AttemptEvent::Preempted {
+                    task: attempt.task_name(),
+                    machine: worker_name.clone(),
+                    preempted_by: preemptor_job.clone(),
+                }));
         }
         self.needs_direct_message.insert(worker_name.clone());
     }
@@ -196,13 +201,13 @@
         if let Some(job) = self.jobs.get(id)
             && !job.has_pending_tasks()
         {
-            let event = ClusterEvent::JobPlaced {
+            let event = ClusterEvent::Job(JobEvent::Placed {
                 job: id.to_string(),
                 wait_s: now - job.accepted_at,
                 class: job.spec.class.clone(),
                 tasks: job.spec.tasks,
                 is_large: self.is_large(job),
-            };
+            });
             self.events.push(event);
         }
     }
--- a/crates/tallygauge-scheduler/src/task_status.rs
+++ b/crates/tallygauge-scheduler/src/task_status.rs
@@ -2,7 +2,10 @@
 //! that no leader placed.
 
 use crate::{
-    cluster_state::ClusterState, events::ClusterEvent, heartbeats::HeartbeatSource, model::*,
+    cluster_state::ClusterState,
+    events::{AttemptEvent, ClusterEvent, JobEvent},
+    heartbeats::HeartbeatSource,
+    model::*,
 };
 use std::collections::HashMap;
 use tallygauge_protocol::workers::{EndCause, Heartbeat, TaskState, TaskStatus};
@@ -152,12 +155,12 @@
             if let Some(job) = self.jobs.get_mut(&spec.id)
                 && !std::mem::replace(&mut job.started, true)
             {
-                self.events.push(ClusterEvent::JobStarted {
+                self.events.push(ClusterEvent::Job(JobEvent::Started {
                     job: spec.id.clone(),
                     wait_s: now - job.accepted_at,
                     class: job.spec.class.clone(),
                     tasks: job.spec.tasks,
-                });
+                }));
             }
             let cache_gb = machine_type.map_or(0.0, |t| t.cache_gb);
             worker.images.fetching.remove(&spec.image);
@@ -183,12 +186,12 @@
         worker.attempts[position].end(cause);
         let attempt = worker.attempts[position].clone();
         if cause != EndCause::Done {
-            self.events.push(ClusterEvent::AttemptEnded {
+            self.events.push(ClusterEvent::Attempt(AttemptEvent::Ended {
                 task: status.task.clone(),
                 machine: machine.to_string(),
                 cause,
                 checkpointed: status.checkpointed,
-            });
+            }));
         }
         self.release_attempt(machine, &attempt, now);
         let is_checkpointed = status.checkpointed.unwrap_or(false);
--- a/crates/tallygauge-scheduler/src/tests/batch_deadlines.rs
+++ b/crates/tallygauge-scheduler/src/tests/batch_deadlines.rs
@@ -142,22 +142,21 @@
     assert!(
         next.events
             .iter()
-            .all(|e| !matches!(e, ClusterEvent::CutoffOpened { .. })),
+            .all(|e| !matches!(e, ClusterEvent::Cutoff(CutoffAlert::Opened { .. }))),
         "the cutoff was open before the failover"
     );
     // The cutoff passes with one open job, and closes when that job is done.
     next.update_deadline_risk(7000.0 + 990.0);
-    assert!(
-        next.events
-            .iter()
-            .any(|e| matches!(e, ClusterEvent::CutoffPassed { open_jobs: 1, .. }))
-    );
+    assert!(next.events.iter().any(|e| matches!(
+        e,
+        ClusterEvent::Cutoff(CutoffAlert::Passed { open_jobs: 1, .. })
+    )));
     finish(&mut next, "req-2", 8005.0);
     next.update_deadline_risk(8006.0);
     assert!(
         next.events
             .iter()
-            .any(|e| matches!(e, ClusterEvent::CutoffMissed { late_s, .. } if (late_s - 20.0).abs() <= 0.5)),
+            .any(|e| matches!(e, ClusterEvent::Cutoff(CutoffAlert::Missed { late_s, .. }) if (late_s - 20.0).abs() <= 0.5)),
         "{:?}",
         next.events
     );
--- a/crates/tallygauge-store/src/commit.rs
+++ b/crates/tallygauge-store/src/commit.rs
@@ -65,6 +65,42 @@
     outcome: Result<TransactionOutcome, StoreError>,
 }
 
+/// What a finished attempt shows of the transaction's outcome.
+enum AttemptVerdict {
+    /// The outcome of the transaction is known.
+    Conclusive(CommitResult),
+    /// The store refused the attempt, while another one may have been executed.
+    Refused,
+    /// The attempt may have been executed.
+    Indeterminate,
+}
+
+/// The results of a transaction's finished attempts.
+#[derive(Default)]
+struct AttemptResults {
+    /// Whether an attempt has finished with an error that leaves its outcome open.
+    has_indeterminate: bool,
+}
+
+impl AttemptResults {
+    /// Adds a finished attempt. `others_in_flight` says whether attempts are unfinished.
+    fn add(&mut self, attempt: Attempt, others_in_flight: bool) -> AttemptVerdict {
+        let has_indeterminate_attempt = self.has_indeterminate || others_in_flight;
+        match attempt.outcome {
+            Err(error) if error.may_have_executed() => {
+                self.has_indeterminate = true;
+                AttemptVerdict::Indeterminate
+            }
+            Err(_) if has_indeterminate_attempt => AttemptVerdict::Refused,
+            outcome => AttemptVerdict::Conclusive(CommitResult {
+                outcome,
+                has_indeterminate_attempt,
+                sent_at: attempt.sent_at,
+            }),
+        }
+    }
+}
+
 /// Schedule of a transaction's attempts: when the next one is due.
 struct AttemptSchedule<T, B> {
     timeouts: T,
@@ -150,24 +186,16 @@
         let mut attempts = FuturesUnordered::new();
         attempts.push(self.attempt(transaction));
         let mut indeterminate_guard: Option<IndeterminateGuard> = None;
-        // Whether an attempt has finished with an error that leaves its outcome open.
-        let mut has_indeterminate_result = false;
+        let mut results = AttemptResults::default();
         loop {
             let wake_at = schedule.next_wake(deadline);
             tokio::select! {
                 biased;
-                Some(Attempt { sent_at, outcome }) = attempts.next(), if !attempts.is_empty() => {
-                    let has_indeterminate_attempt =
-                        has_indeterminate_result || !attempts.is_empty();
-                    match outcome {
-                        Err(error) if error.may_have_executed() =>
-                            has_indeterminate_result = true,
-                        Err(_) if has_indeterminate_attempt => schedule.back_off(Instant::now()),
-                        outcome => return CommitResult {
-                            outcome,
-                            has_indeterminate_attempt,
-                            sent_at,
-                        },
+                Some(attempt) = attempts.next(), if !attempts.is_empty() => {
+                    match results.add(attempt, !attempts.is_empty()) {
+                        AttemptVerdict::Conclusive(result) => return result,
+                        AttemptVerdict::Refused => schedule.back_off(Instant::now()),
+                        AttemptVerdict::Indeterminate => {}
                     }
                 }
                 () = tokio::time::sleep_until(wake_at) => {
--- a/crates/tallygauge/src/event_log.rs
+++ b/crates/tallygauge/src/event_log.rs
@@ -1,7 +1,7 @@
 //! Logs the scheduler's cluster events, each as one line with its values as fields.
 
 use tallygauge_protocol::workers::EndCause;
-use tallygauge_scheduler::{ClusterEvent, UnderservedGroup};
+use tallygauge_scheduler::{AttemptEvent, ClusterEvent, CutoffAlert, JobEvent, UnderservedGroup};
 
 /// Logs at `info` if the first argument is true, otherwise at `debug`.
 macro_rules! log_info_if {
@@ -37,10 +37,6 @@
 
 /// Logs a cluster event. Events that an operator should see by default are logged at `info`,
 /// those of single jobs and attempts at `debug`.
-#[allow(
-    clippy::too_many_lines,
-    reason = "one flat match with an arm for each event"
-)]
 pub(crate) fn log_cluster_event(event: &ClusterEvent) {
     match event {
         ClusterEvent::SpotNoticeReceived { machine } => {
@@ -61,25 +57,33 @@
                 "withholding lease renewal, cancelled task may still start"
             );
         }
-        ClusterEvent::StoppingEndedJob {
-            job,
-            attempts,
-            undelivered_starts,
-        } => tracing::debug!(
-            job,
-            attempts,
-            ?undelivered_starts,
-            "stopping attempts of ended job"
-        ),
-        ClusterEvent::AttemptLost { task, machine } => {
+        ClusterEvent::MinimumShareEnforced { jobs, groups } => {
+            tracing::info!(
+                jobs,
+                groups = format_groups(groups),
+                "enforcing minimum share"
+            );
+        }
+        ClusterEvent::MinimumShareReached => {
+            tracing::info!("minimum share no longer enforced");
+        }
+        ClusterEvent::Attempt(event) => log_attempt_event(event),
+        ClusterEvent::Job(event) => log_job_event(event),
+        ClusterEvent::Cutoff(event) => log_cutoff_event(event),
+    }
+}
+
+fn log_attempt_event(event: &AttemptEvent) {
+    match event {
+        AttemptEvent::Lost { task, machine } => {
             tracing::debug!(task, machine, "attempt lost with agent incarnation");
         }
-        ClusterEvent::AttemptPreempted {
+        AttemptEvent::Preempted {
             task,
             machine,
             preempted_by,
         } => tracing::debug!(task, machine, preempted_by, "preempting attempt"),
-        ClusterEvent::AttemptEnded {
+        AttemptEvent::Ended {
             task,
             machine,
             cause,
@@ -95,7 +99,22 @@
                 "attempt ended"
             );
         }
-        ClusterEvent::JobStarted {
+    }
+}
+
+fn log_job_event(event: &JobEvent) {
+    match event {
+        JobEvent::Stopping {
+            job,
+            attempts,
+            undelivered_starts,
+        } => tracing::debug!(
+            job,
+            attempts,
+            ?undelivered_starts,
+            "stopping attempts of ended job"
+        ),
+        JobEvent::Started {
             job,
             wait_s,
             class,
@@ -107,7 +126,7 @@
             tasks,
             "job started"
         ),
-        ClusterEvent::JobPlaced {
+        JobEvent::Placed {
             job,
             wait_s,
             class,
@@ -121,11 +140,16 @@
             is_large,
             "all tasks of job placed"
         ),
-        ClusterEvent::CutoffOpened {
+    }
+}
+
+fn log_cutoff_event(event: &CutoffAlert) {
+    match event {
+        CutoffAlert::Opened {
             cutoff,
             is_declared,
         } => log_info_if!(*is_declared, %cutoff, "cutoff opened"),
-        ClusterEvent::CutoffAtRisk {
+        CutoffAlert::AtRisk {
             cutoff,
             is_declared,
             open_jobs,
@@ -141,22 +165,12 @@
             missing_cpus = missing_cpus.round(),
             "cutoff at risk"
         ),
-        ClusterEvent::CutoffPassed { cutoff, open_jobs } => {
+        CutoffAlert::Passed { cutoff, open_jobs } => {
             tracing::info!(%cutoff, open_jobs, "cutoff passed with open jobs");
         }
-        ClusterEvent::CutoffMet { cutoff } => tracing::info!(%cutoff, "cutoff met"),
-        ClusterEvent::CutoffMissed { cutoff, late_s } => {
+        CutoffAlert::Met { cutoff } => tracing::info!(%cutoff, "cutoff met"),
+        CutoffAlert::Missed { cutoff, late_s } => {
             tracing::info!(%cutoff, late_s = late_s.round(), "cutoff missed");
         }
-        ClusterEvent::MinimumShareEnforced { jobs, groups } => {
-            tracing::info!(
-                jobs,
-                groups = format_groups(groups),
-                "enforcing minimum share"
-            );
-        }
-        ClusterEvent::MinimumShareReached => {
-            tracing::info!("minimum share no longer enforced");
-        }
     }
 }
