Scheduler: a cancelled attempt stays cancelled whatever else would stop it

Cause: found by looking for other rights that rest on one slot. The reason of a stop is one; the return of a machine with unconfirmed cancellations and the lease that is not renewed look for the reason Cancelled. That no later reason replaces it held because each of the five callers asks first, not by the slot itself.

Change: `request_stop` keeps a cancellation. The test shows for each other reason that a cancellation replaces it, that its timeout counts from the cancellation, and that the reason can't come back. AttemptVerdict is called AttemptOutcome.

--- a/crates/tallygauge-scheduler/src/model/attempt.rs
+++ b/crates/tallygauge-scheduler/src/model/attempt.rs
@@ -178,9 +178,12 @@
         self.phase = AttemptPhase::Ended(cause);
     }
 
-    /// Records the decision to stop it; replaces an earlier decision.
+    /// Records the decision to stop it. It replaces an earlier decision, except that a
+    /// cancellation is final.
     pub(crate) fn request_stop(&mut self, reason: StopReason, now: f64) {
-        self.stop = Some(StopDecision { reason, at: now });
+        if !self.is_cancelled() {
+            self.stop = Some(StopDecision { reason, at: now });
+        }
     }
 
     /// Whether it is to be stopped because its job has ended.
--- a/crates/tallygauge-scheduler/src/tests/return_decisions.rs
+++ b/crates/tallygauge-scheduler/src/tests/return_decisions.rs
@@ -101,3 +101,39 @@
         [ReturnReason::CancelUnconfirmed, ReturnReason::Silent]
     );
 }
+
+#[test]
+fn unconfirmed_cancellation_counts_from_the_cancellation_whatever_stopped_the_attempt_before() {
+    for earlier in [
+        StopReason::Preempted,
+        StopReason::SpotNotice,
+        StopReason::Drained,
+        StopReason::Duplicate,
+    ] {
+        let mut c = cluster(&["sa"], 100.0);
+        c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
+        round(&mut c, 100.0);
+        let message = c.take_direct_messages(100.0, 1.0).remove(0);
+        c.record_direct_message_result(&message, false, false, 101.0);
+        let stop = |c: &mut ClusterState, reason, now| {
+            let worker = c.workers.get_mut("sa").unwrap();
+            worker.attempts[0].request_stop(reason, now);
+        };
+        stop(&mut c, earlier, 101.0);
+        c.remove_job("req-1", 110.0);
+        stop(&mut c, earlier, 120.0);
+        let decision = c.workers["sa"].attempts[0].stop.unwrap();
+        assert_eq!(
+            (decision.reason, decision.at),
+            (StopReason::Cancelled, 110.0)
+        );
+        send_empty_heartbeats(&mut c, 136.0);
+        assert_eq!(return_reason(&mut c, 136.0), None, "{earlier:?}");
+        send_empty_heartbeats(&mut c, 140.0);
+        assert_eq!(
+            return_reason(&mut c, 140.0),
+            Some(ReturnReason::CancelUnconfirmed),
+            "{earlier:?}"
+        );
+    }
+}
--- a/crates/tallygauge-store/src/commit.rs
+++ b/crates/tallygauge-store/src/commit.rs
@@ -66,7 +66,7 @@
 }
 
 /// What a finished attempt shows of the transaction's outcome.
-enum AttemptVerdict {
+enum AttemptOutcome {
     /// The outcome of the transaction is known.
     Conclusive(CommitResult),
     /// The store refused the attempt, while another one may have been executed.
@@ -84,15 +84,15 @@
 
 impl AttemptResults {
     /// Adds a finished attempt. `others_in_flight` says whether attempts are unfinished.
-    fn add(&mut self, attempt: Attempt, others_in_flight: bool) -> AttemptVerdict {
+    fn add(&mut self, attempt: Attempt, others_in_flight: bool) -> AttemptOutcome {
         let has_indeterminate_attempt = self.has_indeterminate || others_in_flight;
         match attempt.outcome {
             Err(error) if error.may_have_executed() => {
                 self.has_indeterminate = true;
-                AttemptVerdict::Indeterminate
+                AttemptOutcome::Indeterminate
             }
-            Err(_) if has_indeterminate_attempt => AttemptVerdict::Refused,
-            outcome => AttemptVerdict::Conclusive(CommitResult {
+            Err(_) if has_indeterminate_attempt => AttemptOutcome::Refused,
+            outcome => AttemptOutcome::Conclusive(CommitResult {
                 outcome,
                 has_indeterminate_attempt,
                 sent_at: attempt.sent_at,
@@ -193,9 +193,9 @@
                 biased;
                 Some(attempt) = attempts.next(), if !attempts.is_empty() => {
                     match results.add(attempt, !attempts.is_empty()) {
-                        AttemptVerdict::Conclusive(result) => return result,
-                        AttemptVerdict::Refused => schedule.back_off(Instant::now()),
-                        AttemptVerdict::Indeterminate => {}
+                        AttemptOutcome::Conclusive(result) => return result,
+                        AttemptOutcome::Refused => schedule.back_off(Instant::now()),
+                        AttemptOutcome::Indeterminate => {}
                     }
                 }
                 () = tokio::time::sleep_until(wake_at) => {
