Test a machine that fails while its return is decided; no work for lines not logged

The lists of attempts and jobs for lines at debug were built at any log level.

Change: the test; both lines return early unless debug is logged.

--- a/crates/tallygauge-scheduler/src/tests/return_decisions.rs
+++ b/crates/tallygauge-scheduler/src/tests/return_decisions.rs
@@ -72,6 +72,26 @@
     );
 }
 
+#[test]
+fn attempts_of_a_failed_machine_end_at_once_although_its_return_was_decided_before() {
+    let mut c = cluster(&["sa"], 100.0);
+    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
+    round(&mut c, 100.0);
+    decide(&mut c, ReturnReason::Slow, 101.0);
+    let failed = Machine {
+        name: "sa".into(),
+        endpoint: "sa:1".into(),
+        machine_type: "small".into(),
+        zone: "a".into(),
+        spot: true,
+        state: MachineState::Failed,
+        age_s: 900.0,
+    };
+    c.apply_machine_list(&[failed], 102.0, 102.0);
+    assert!(c.workers["sa"].attempts.is_empty());
+    assert_eq!(c.jobs["req-1"].pending.len(), 1);
+}
+
 #[test]
 fn revoked_return_reason_leaves_the_other_reasons_in_force() {
     let mut c = cluster_with_undelivered_start();
--- a/crates/tallygauge/src/direct_messages.rs
+++ b/crates/tallygauge/src/direct_messages.rs
@@ -78,6 +78,9 @@
 }
 
 fn log_sending(term: u64, message: &DirectMessage) {
+    if !tracing::enabled!(tracing::Level::DEBUG) {
+        return;
+    }
     let stopped_attempts: Vec<u64> = message
         .commands
         .iter()
--- a/crates/tallygauge/src/job_watch_loop.rs
+++ b/crates/tallygauge/src/job_watch_loop.rs
@@ -48,7 +48,7 @@
 fn apply_events(controller: &Controller, response: WatchResponse, revision: u64, sent_at: f64) {
     let (now, unix_time_s) = (controller.now(), controller.unix_time_s());
     let has_events = !response.events.is_empty();
-    if has_events {
+    if has_events && tracing::enabled!(tracing::Level::DEBUG) {
         log_events(&response, sent_at, now);
     }
     if let Some(leadership) = controller.leadership.lock().as_mut() {
