Test that fails: a start held past the restart of an agent is carried out

Traced: a direct message with a start is held; heartbeats start the task, it ends; the agent restarts, with incarnation 1 and without token and attempts; the message, for incarnation 1, arrives in its first lease and is carried out. `latest_end` names this case as not covered.

It breaks `ran_cancelled` without any cloud outage.

--- a/crates/tallygauge-sim/tests/unconfirmed_cancellation.rs
+++ b/crates/tallygauge-sim/tests/unconfirmed_cancellation.rs
@@ -136,3 +136,23 @@
     assert!(simulation.state.lock().unwrap().rejected_commands > 0);
     simulation.assert_invariants();
 }
+
+#[tokio::test(start_paused = true)]
+async fn held_start_of_cancelled_task_does_not_run_on_a_restarted_agent() {
+    let (simulation, controller, machine) = start_with_one_machine().await;
+    let other = submit_job(&simulation, &controller, 2, 1, 1.0, 100.0).await;
+    sleep_s(HEARTBEAT_INTERVAL_S).await;
+    simulation.hold_commands(&machine, LONG_HOLD_S);
+    let id = submit_job(&simulation, &controller, 1, 1, 1.0, 100.0).await;
+    let is_running = eventually(HEARTBEAT_INTERVAL_S * 3.0, async || {
+        simulation.running_task_count(&id) == 1
+    });
+    assert!(is_running.await, "no heartbeat response carried the start");
+    cancel_until_confirmed(&simulation, &controller, &id, 1.0).await;
+    sleep_s(LONG_HOLD_S * 0.8).await;
+    assert_eq!(simulation.running_task_count(&id), 0);
+    assert_eq!(simulation.running_task_count(&other), 1);
+    simulation.restart_agent(&machine);
+    sleep_s(LONG_HOLD_S * 0.2).await;
+    simulation.assert_invariants();
+}
