Cloud: log the first failed return of a row at info, the next at debug

Change: the loop knows whether the request before failed; the outcome of a request is a type. When requests are sent is as before.

--- a/crates/tallygauge/src/cloud/returns.rs
+++ b/crates/tallygauge/src/cloud/returns.rs
@@ -1,7 +1,7 @@
 //! Scale-in: returning machines that are no longer needed.
 
 use super::{CloudSession, client};
-use crate::controller::Controller;
+use crate::{controller::Controller, event_log::log_info_if};
 use std::time::Duration;
 use tallygauge_protocol::cloud::{MAX_MACHINES_PER_RETURN, MachineNames};
 use tallygauge_scheduler::ReturnableMachine;
@@ -15,6 +15,16 @@
 /// between two reads of the machine list.
 const MAX_PAUSE_LIST_INTERVAL_FRACTION: f64 = 0.25;
 
+/// What became of the machines whose return was due.
+enum ReturnOutcome {
+    /// No return was due.
+    NothingDue,
+    /// The cloud provider has them back.
+    Returned,
+    /// The provider did not confirm the request, which is to be repeated.
+    Failed,
+}
+
 /// Marks surplus machines and returns machines while the term lasts.
 pub(super) async fn run(session: &CloudSession<'_>) {
     let controller = session.controller;
@@ -23,26 +33,33 @@
     let pause_s = (session.list_interval_s() * MAX_PAUSE_LIST_INTERVAL_FRACTION)
         .min(surplus_update_interval_s);
     let mut surplus_updated_at = f64::NEG_INFINITY;
+    let mut is_failing = false;
     loop {
         let now = controller.now();
         if now - surplus_updated_at > surplus_update_interval_s {
             surplus_updated_at = now;
             controller.with_cluster(|cluster| cluster.mark_surplus_machines(now));
         }
-        if return_due_machines(controller).await {
-            session.rate_limiter.acquire().await;
-        } else {
-            tokio::time::sleep(Duration::from_secs_f64(pause_s)).await;
+        match return_due_machines(controller, is_failing).await {
+            ReturnOutcome::Returned => {
+                is_failing = false;
+                session.rate_limiter.acquire().await;
+                continue;
+            }
+            ReturnOutcome::Failed => is_failing = true,
+            ReturnOutcome::NothingDue => {}
         }
+        tokio::time::sleep(Duration::from_secs_f64(pause_s)).await;
     }
 }
 
-/// Sends one request that returns the machines whose return is due. Returns whether any
-/// were returned, in which case the caller checks again without the usual pause.
-async fn return_due_machines(controller: &Controller) -> bool {
+/// Sends one request that returns the machines whose return is due. If any were returned, the
+/// caller checks again without the usual pause. A failure is logged at `debug` if the request
+/// before failed as well.
+async fn return_due_machines(controller: &Controller, is_failing: bool) -> ReturnOutcome {
     let machines = take_due_returns(controller);
     if machines.is_empty() {
-        return false;
+        return ReturnOutcome::NothingDue;
     }
     let request = MachineNames {
         names: machines
@@ -53,8 +70,8 @@
     let response = client::send(controller, Method::POST, "/machines/return", Some(&request)).await;
     let now = controller.now();
     if !matches!(response, Ok((StatusCode::OK, _))) {
-        log_failed_return(&machines, &response);
-        return false;
+        log_failed_return(&machines, &response, is_failing);
+        return ReturnOutcome::Failed;
     }
     controller.with_cluster(|cluster| {
         for name in &request.names {
@@ -65,16 +82,17 @@
         tracing::info!(machine = name, ?reason, "returned machine");
     }
     controller.wake_scheduler.notify_one();
-    true
+    ReturnOutcome::Returned
 }
 
-fn log_failed_return(machines: &[ReturnableMachine], response: &HttpResult) {
+fn log_failed_return(machines: &[ReturnableMachine], response: &HttpResult, is_repeated: bool) {
     let status = response.as_ref().ok().map(|(status, _)| status.as_u16());
     let count_unconfirmed = machines
         .iter()
         .filter(|machine| machine.reason.is_for_safety())
         .count();
-    tracing::info!(
+    log_info_if!(
+        !is_repeated,
         machines = machines.len(),
         cancel_unconfirmed = count_unconfirmed,
         first = machines.first().map(|machine| machine.name.as_str()),
--- a/crates/tallygauge/src/event_log.rs
+++ b/crates/tallygauge/src/event_log.rs
@@ -14,6 +14,8 @@
     };
 }
 
+pub(crate) use log_info_if;
+
 /// Rounds a value to one decimal place for the log.
 fn round_to_one_decimal(value: f64) -> f64 {
     (value * 10.0).round() / 10.0
