--- a/crates/tallygauge-scheduler/src/tests/mod.rs
+++ b/crates/tallygauge-scheduler/src/tests/mod.rs
@@ -220,15 +220,22 @@
 /// When the job of [`cluster_with_undelivered_start`] is cancelled.
 const CANCELLED_AT: f64 = 101.0;
 
-/// A cluster whose machine `sa` may still get the start of a cancelled task, because the
-/// direct message with the start was given up.
-fn cluster_with_undelivered_start() -> ClusterState {
+/// A cluster in which the direct message with the start of `req-1/0` on machine `sa` failed at
+/// [`CANCELLED_AT`]. The start may still arrive unless the message was `never_sent`.
+fn cluster_with_failed_start_message(never_sent: bool) -> ClusterState {
     let mut c = cluster(&["sa"], 100.0);
     c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
     round(&mut c, 100.0);
     let message = c.take_direct_messages(100.0, 1.0).remove(0);
     assert_eq!(message.started_attempts.len(), 1);
-    c.record_direct_message_result(&message, false, false, CANCELLED_AT);
+    c.record_direct_message_result(&message, false, never_sent, CANCELLED_AT);
+    c
+}
+
+/// A cluster whose machine `sa` may still get the start of a cancelled task, because the
+/// direct message with the start was given up.
+fn cluster_with_undelivered_start() -> ClusterState {
+    let mut c = cluster_with_failed_start_message(false);
     c.remove_job("req-1", CANCELLED_AT);
     c
 }
--- a/crates/tallygauge-scheduler/src/tests/return_decisions.rs
+++ b/crates/tallygauge-scheduler/src/tests/return_decisions.rs
@@ -130,11 +130,7 @@
         StopReason::Drained,
         StopReason::Duplicate,
     ] {
-        let mut c = cluster(&["sa"], 100.0);
-        c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
-        round(&mut c, 100.0);
-        let message = c.take_direct_messages(100.0, 1.0).remove(0);
-        c.record_direct_message_result(&message, false, false, 101.0);
+        let mut c = cluster_with_failed_start_message(false);
         let stop = |c: &mut ClusterState, reason, now| {
             let worker = c.workers.get_mut("sa").unwrap();
             worker.attempts[0].request_stop(reason, now);
--- a/crates/tallygauge-scheduler/src/tests/worker_leases.rs
+++ b/crates/tallygauge-scheduler/src/tests/worker_leases.rs
@@ -42,21 +42,13 @@
 
 #[test]
 fn undelivered_start_of_an_active_job_leaves_the_lease_alone() {
-    let mut c = cluster(&["sa"], 100.0);
-    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
-    round(&mut c, 100.0);
-    let message = c.take_direct_messages(100.0, 1.0).remove(0);
-    c.record_direct_message_result(&message, false, false, 101.0);
+    let mut c = cluster_with_failed_start_message(false);
     assert!(c.may_renew_lease("sa", WITHHELD_AT));
 }
 
 #[test]
 fn refused_start_of_a_cancelled_task_leaves_the_lease_alone() {
-    let mut c = cluster(&["sa"], 100.0);
-    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
-    round(&mut c, 100.0);
-    let message = c.take_direct_messages(100.0, 1.0).remove(0);
-    c.record_direct_message_result(&message, false, true, 101.0);
-    c.remove_job("req-1", 101.0);
+    let mut c = cluster_with_failed_start_message(true);
+    c.remove_job("req-1", CANCELLED_AT);
     assert!(c.may_renew_lease("sa", WITHHELD_AT));
 }
