Log whether the start of a lost attempt may still arrive

The log said that its first attempt was lost, which is right when the task was known to be gone, and a fault when the direct message with its start was still on its way. Both read alike.

--- a/crates/tallygauge-scheduler/src/events.rs
+++ b/crates/tallygauge-scheduler/src/events.rs
@@ -68,6 +68,8 @@
         task: String,
         /// Name of the machine that it was on.
         machine: String,
+        /// Whether a direct message with its start may still arrive at the machine.
+        start_undelivered: bool,
     },
     /// An attempt is stopped for a job that takes precedence.
     Preempted {
--- a/crates/tallygauge/src/event_log.rs
+++ b/crates/tallygauge/src/event_log.rs
@@ -77,9 +77,16 @@
 
 fn log_attempt_event(event: &AttemptEvent) {
     match event {
-        AttemptEvent::Lost { task, machine } => {
-            tracing::debug!(task, machine, "attempt lost with agent incarnation");
-        }
+        AttemptEvent::Lost {
+            task,
+            machine,
+            start_undelivered,
+        } => tracing::debug!(
+            task,
+            machine,
+            start_undelivered,
+            "attempt lost with agent incarnation"
+        ),
         AttemptEvent::Preempted {
             task,
             machine,
