Scheduler: a task whose direct start was given up stays with its machine

Its direct start was held by a partition of 55 s, the task was started elsewhere after two leases (36 s), and the held start was executed by an agent that had restarted and was in the same incarnation again.

Cause: a lease, two leases or a later incarnation were taken as the end of a start that may arrive at any later time (Attempt::latest_end, end_incarnation).

Change: such an attempt ends only when the machine no longer exists. When its agent reports in a later incarnation, heartbeat responses start the same attempt there, and a late start of an attempt that the agent knows has no effect; so the task waits no longer than the partition lasts, and no machine is returned for it. A machine whose agent restarted in between is returned at once, for it runs nothing; one that stays silent after four leases as before, although the task is bound to it; one with such a cancelled attempt in time for the cancel timeout, and the attempt holds its quota until then. While a start that was given up has not been seen, further starts go out in heartbeat responses alone, so that a partition binds one message's tasks to a machine.

--- a/crates/tallygauge-scheduler/src/attempt_accounting.rs
+++ b/crates/tallygauge-scheduler/src/attempt_accounting.rs
@@ -23,9 +23,9 @@
 }
 
 impl ClusterState {
-    /// Ends all attempts on a machine of agent incarnations up to and including `last`.
-    pub(crate) fn end_incarnation(&mut self, machine: &str, last: u64, now: f64) {
-        self.end_attempts(machine, now, |attempt| attempt.incarnation <= last);
+    /// Ends all attempts on a machine that certainly executes nothing any more.
+    pub(crate) fn end_all_attempts(&mut self, machine: &str, now: f64) {
+        self.end_attempts(machine, now, |_| true);
     }
 
     /// Ends the attempts on a machine that `has_ended` selects. They must certainly have
--- a/crates/tallygauge-scheduler/src/direct_messages.rs
+++ b/crates/tallygauge-scheduler/src/direct_messages.rs
@@ -203,8 +203,15 @@
     }
 
     /// Number of further starts that may be sent to the worker directly before some of those
-    /// that were sent are answered.
+    /// that were sent are answered. None while one that was given up has not been seen on the
+    /// worker: the next would likely be lost as well, and bind its task to the machine.
     fn direct_start_headroom(&self, config: &Config) -> usize {
+        let is_unseen = |attempt: &Attempt| {
+            attempt.is_start_indeterminate() && attempt.phase == AttemptPhase::Recorded
+        };
+        if self.attempts.iter().any(is_unseen) {
+            return 0;
+        }
         let limit = config.max_attempts_per_worker as f64 * MAX_UNDELIVERED_START_FRACTION;
         let undelivered = self.attempts.iter().filter(|a| a.may_yet_start());
         (limit as usize).saturating_sub(undelivered.count())
--- a/crates/tallygauge-scheduler/src/heartbeats.rs
+++ b/crates/tallygauge-scheduler/src/heartbeats.rs
@@ -67,8 +67,8 @@
         // Without this leader's token the heartbeat may come from an earlier run of the
         // agent that ended before this term, with higher incarnation numbers than the one
         // that now runs this leader's tasks.
-        if heartbeat.incarnation > 1 && heartbeat.token == self.config.term {
-            self.end_incarnation(&heartbeat.machine, heartbeat.incarnation - 1, now);
+        if heartbeat.token == self.config.term {
+            self.end_earlier_incarnations(&heartbeat.machine, heartbeat.incarnation, now);
         }
         self.apply_task_statuses(now, heartbeat, source);
         self.follow_up(now, &heartbeat.machine);
@@ -177,6 +177,7 @@
             worker.endpoint.clone_from(&heartbeat.endpoint);
         }
         worker.last_heartbeat_at = now;
+        worker.agent_restarted = false;
         if worker.reachability.needs_probe() {
             self.needs_direct_message.insert(heartbeat.machine.clone());
         } else {
@@ -288,6 +289,7 @@
     /// with it.
     fn reset_for_agent_restart(&mut self, fencing_token: u64, now: f64) {
         self.last_dead_incarnation = self.last_dead_incarnation.max(self.incarnation);
+        self.agent_restarted = true;
         self.incarnation_seen_at = now;
         self.message_order.liveness_probe_sent();
         self.images = ImageCache::default();
--- a/crates/tallygauge-scheduler/src/lib.rs
+++ b/crates/tallygauge-scheduler/src/lib.rs
@@ -37,6 +37,7 @@
 mod task_status;
 #[cfg(test)]
 mod tests;
+mod undelivered_starts;
 mod worker_leases;
 
 pub use batch_deadlines::CutoffStatus;
--- a/crates/tallygauge-scheduler/src/machines.rs
+++ b/crates/tallygauge-scheduler/src/machines.rs
@@ -140,13 +140,13 @@
             && worker.decide_return(ReturnReason::Failed, now, &mut self.events)
         {
             worker.last_dead_incarnation = worker.last_dead_incarnation.max(worker.incarnation);
-            self.end_incarnation(&machine.name, u64::MAX, now);
+            self.end_all_attempts(&machine.name, now);
         }
     }
 
     /// Removes a machine that certainly no longer exists, and ends its attempts.
     pub fn deregister_machine(&mut self, name: &str, now: f64) {
-        self.end_incarnation(name, u64::MAX, now);
+        self.end_all_attempts(name, now);
         self.tombstones.record_deregistration(name, now);
         self.workers.remove(name);
     }
@@ -190,6 +190,10 @@
                 self.stays_unreachable(worker, now),
             ),
             (ReturnReason::Slow, is_slow(worker)),
+            (
+                ReturnReason::UndeliveredStart,
+                worker.has_restarted_before_late_start(),
+            ),
             (
                 ReturnReason::CancelUnconfirmed,
                 has_unconfirmed_cancellation(worker, &self.config, now),
@@ -200,7 +204,7 @@
         .collect()
     }
 
-    /// Whether a machine without attempts has sent no heartbeat for several leases.
+    /// Whether a machine that runs nothing has sent no heartbeat for several leases.
     ///
     /// Whole zones may be partitioned for several leases and recover. Until then, other
     /// machines are rented if pending work needs them, but none of the silent ones is
@@ -210,7 +214,7 @@
             .last_heartbeat_at
             .max(worker.booted_at.unwrap_or(f64::NEG_INFINITY))
             .max(self.term_started_at);
-        worker.attempts.is_empty() && now - last_contact > self.max_silence_s()
+        !worker.has_live_attempts() && now - last_contact > self.max_silence_s()
     }
 
     /// Whether a machine has sent heartbeats but received nothing for several leases: a zone
@@ -243,6 +247,9 @@
         let Some(worker) = self.workers.get_mut(machine) else {
             return;
         };
+        if !reasons.contains(&ReturnReason::UndeliveredStart) {
+            worker.revoke_return(&[ReturnReason::UndeliveredStart]);
+        }
         for reason in reasons {
             worker.decide_return(reason, now, &mut self.events);
         }
@@ -311,19 +318,19 @@
 /// Whether a machine has sent a heartbeat since an attempt on it was cancelled but has
 /// not confirmed the attempt's end in time.
 ///
-/// A machine without a heartbeat since the cancellation does not count. It was not
-/// answered either, so its lease expires in time; and most such machines are in a
-/// partitioned zone and run tasks of other jobs.
+/// A machine without a heartbeat since the cancellation does not count, unless the start of the
+/// attempt may still arrive. It was not answered either, so its lease expires in time; and most
+/// such machines are in a partitioned zone and run tasks of other jobs.
 fn has_unconfirmed_cancellation(worker: &Worker, config: &Config, now: f64) -> bool {
-    let is_overdue = |stop: StopDecision| {
+    let is_overdue = |attempt: &Attempt, stop: StopDecision| {
         stop.reason == StopReason::Cancelled
-            && worker.last_heartbeat_at >= stop.at
+            && (worker.last_heartbeat_at >= stop.at || attempt.is_start_indeterminate())
             && now - stop.at > config.cancel_timeout_s * UNCONFIRMED_TIMEOUT_FRACTION
     };
-    worker
-        .attempts
-        .iter()
-        .any(|attempt| attempt.stop.is_some_and(is_overdue) && attempt.occupies_capacity())
+    worker.attempts.iter().any(|attempt| {
+        let is_overdue = attempt.stop.is_some_and(|stop| is_overdue(attempt, stop));
+        is_overdue && attempt.occupies_capacity()
+    })
 }
 
 /// Whether an attempt must be stopped now, before its spot instance is reclaimed.
--- a/crates/tallygauge-scheduler/src/model/return_decisions.rs
+++ b/crates/tallygauge-scheduler/src/model/return_decisions.rs
@@ -16,6 +16,8 @@
     Slow,
     /// It did not confirm in time that cancelled tasks have ended.
     CancelUnconfirmed,
+    /// Its agent has restarted while a start that it did not answer may still arrive.
+    UndeliveredStart,
     /// It has sent no heartbeat for several leases.
     Silent,
     /// It sends heartbeats, but messages sent to it do not arrive.
--- a/crates/tallygauge-scheduler/src/model/worker.rs
+++ b/crates/tallygauge-scheduler/src/model/worker.rs
@@ -80,6 +80,8 @@
     pub booted_at: Option<f64>,
     /// All incarnations up to and including this one have certainly ended.
     pub last_dead_incarnation: u64,
+    /// Whether its agent has restarted since the last heartbeat of a live incarnation.
+    pub agent_restarted: bool,
     /// When a heartbeat first carried this leader's fencing token.
     pub fencing_token_seen_at: Option<f64>,
     /// Since when its heartbeats are not answered so that its lease expires.
@@ -140,6 +142,7 @@
             incarnation_seen_at: now,
             booted_at: None,
             last_dead_incarnation: 0,
+            agent_restarted: false,
             fencing_token_seen_at: None,
             renewal_withheld_since: None,
             lease_renewed_at: f64::NEG_INFINITY,
@@ -169,6 +172,7 @@
             && !self.is_being_returned()
             && self.spot_reclaim_at.is_none()
             && self.renewal_withheld_since.is_none()
+            && !self.has_undelivered_cancelled_start()
             && now - self.last_heartbeat_at < config.heartbeat_timeout_s()
             && self
                 .reachability
--- a/crates/tallygauge-scheduler/src/scale_in.rs
+++ b/crates/tallygauge-scheduler/src/scale_in.rs
@@ -220,9 +220,10 @@
                     now - self.term_started_at > settle_s
                 }
                 ReturnReason::Silent | ReturnReason::Unreachable => now - decision.at > settle_s,
+                ReturnReason::UndeliveredStart => worker.agent_restarted,
                 ReturnReason::Faulty | ReturnReason::Slow | ReturnReason::Idle => false,
             };
-            let is_vacated = is_empty && !has_unsaved_ends;
+            let is_vacated = !worker.has_live_attempts() && !has_unsaved_ends;
             let effective = worker
                 .return_decisions
                 .iter()
--- a/crates/tallygauge-scheduler/src/tests/mod.rs
+++ b/crates/tallygauge-scheduler/src/tests/mod.rs
@@ -17,6 +17,7 @@
 mod reference_model;
 mod return_decisions;
 mod start_deadline;
+mod undelivered_starts;
 mod worker_leases;
 
 use crate::{mapping::TaskGroup, *};
--- /dev/null
+++ b/crates/tallygauge-scheduler/src/tests/undelivered_starts.rs
@@ -0,0 +1,167 @@
+//! Starts in direct messages that were given up and may arrive at any later time.
+
+use super::*;
+
+/// When the direct message was given up.
+const GIVEN_UP_AT: f64 = 103.0;
+
+/// A time many leases after the message was given up.
+const MUCH_LATER: f64 = GIVEN_UP_AT + 1000.0;
+
+/// A cluster with the machines `sa`, which gets the task `req-1/0`, and `sb`. The direct message
+/// with the start was given up.
+fn cluster_with_late_start() -> ClusterState {
+    let mut c = cluster(&["sa"], 100.0);
+    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
+    assert_eq!(round(&mut c, 100.0).len(), 1);
+    let message = c.take_direct_messages(100.0, 1.0).remove(0);
+    c.record_direct_message_result(&message, false, false, GIVEN_UP_AT);
+    send_heartbeat(&mut c, "sb", (1, 1), MUCH_LATER - 1.0);
+    c
+}
+
+/// Sends a heartbeat without tasks, of the given incarnation and sequence number.
+fn send_heartbeat(c: &mut ClusterState, machine: &str, mark: (u64, u64), now: f64) {
+    let heartbeat = heartbeat_from(machine, mark.0, mark.1, TERM, vec![]);
+    c.apply_heartbeat(now, &heartbeat, HeartbeatSource::Periodic);
+}
+
+/// Lets the agent of `sa`, which has restarted at incarnation 1, answer a probe.
+fn answer_probe_after_restart(c: &mut ClusterState, now: f64) {
+    send_heartbeat(c, "sa", (1, 0), now);
+    let mut messages = c.take_direct_messages(now, 1.0);
+    messages.retain(|message| message.worker == "sa" && message.is_probe);
+    let probe = messages
+        .pop()
+        .expect("a restart is told from a late copy by a probe");
+    c.record_direct_message_result(&probe, true, false, now);
+    c.apply_direct_reply(now, &probe, &heartbeat_from("sa", 1, 1, TERM, vec![]));
+}
+
+fn placed_on(c: &ClusterState, machine: &str) -> usize {
+    let attempts = c.workers[machine].attempts.iter();
+    attempts.filter(|a| a.occupies_capacity()).count()
+}
+
+#[test]
+fn task_with_undelivered_start_is_not_placed_elsewhere_however_long_the_machine_is_silent() {
+    // Guards against a task on two machines: a message that a partition held for three leases
+    // was executed by an agent that had restarted, after the task was started elsewhere.
+    let mut c = cluster_with_late_start();
+    c.advance_time(MUCH_LATER);
+    assert!(round(&mut c, MUCH_LATER).is_empty());
+    assert_eq!((placed_on(&c, "sa"), placed_on(&c, "sb")), (1, 0));
+    assert_eq!(c.quota_usage[0].cpus, 1.0);
+    c.deregister_machine("sa", MUCH_LATER);
+    assert_eq!(round(&mut c, MUCH_LATER).len(), 1);
+    assert_eq!(placed_on(&c, "sb"), 1);
+}
+
+#[test]
+fn silent_machine_is_returned_although_the_task_of_an_undelivered_start_is_bound_to_it() {
+    // Guards against a task that waits for ever for a machine that hangs for good.
+    let mut c = cluster_with_late_start();
+    c.advance_time(GIVEN_UP_AT + c.config.lease_s * 3.0);
+    assert!(c.machines_to_return(MUCH_LATER).is_empty());
+    c.advance_time(GIVEN_UP_AT + c.config.lease_s * 5.0);
+    let returnable = c.machines_to_return(MUCH_LATER);
+    assert_eq!(returnable[0].reason, ReturnReason::Silent);
+}
+
+#[test]
+fn undelivered_start_is_repeated_in_the_next_incarnation_of_its_agent() {
+    // Guards against taking a later incarnation as the end of a start: the agent may restart
+    // after that, at the incarnation of the same number.
+    let mut c = cluster_with_late_start();
+    let attempt = c.workers["sa"].attempts[0].number;
+    send_heartbeat(&mut c, "sa", (2, 9), MUCH_LATER);
+    assert!(round(&mut c, MUCH_LATER).is_empty());
+    assert_eq!(
+        start_commands(&c, "sa", MUCH_LATER),
+        [("req-1/0".to_string(), attempt)]
+    );
+    assert!(
+        c.take_direct_messages(MUCH_LATER, 1.0)
+            .iter()
+            .all(|message| message.started_attempts.is_empty()),
+        "a start goes out in one direct message at most"
+    );
+    let running = task("req-1/0", attempt, TaskState::Running, None);
+    let heartbeat = heartbeat_from("sa", 2, 10, TERM, vec![running]);
+    c.apply_heartbeat(MUCH_LATER + 2.0, &heartbeat, HeartbeatSource::Periodic);
+    send_heartbeat(&mut c, "sa", (3, 11), MUCH_LATER + 30.0);
+    assert_eq!(
+        start_commands(&c, "sa", MUCH_LATER + 30.0).len(),
+        1,
+        "the copy may arrive after any number of incarnations"
+    );
+}
+
+#[test]
+fn machine_whose_agent_restarts_before_a_start_arrives_is_returned_at_once() {
+    // Guards against waiting on a machine for a start of which nobody knows whether the
+    // restarted agent has executed it.
+    let mut c = cluster_with_late_start();
+    answer_probe_after_restart(&mut c, GIVEN_UP_AT + 1.0);
+    c.advance_time(GIVEN_UP_AT + 1.0);
+    assert_eq!(placed_on(&c, "sa"), 1, "kept until the machine is gone");
+    let returnable = c.machines_to_return(GIVEN_UP_AT + 1.0);
+    assert_eq!(returnable[0].reason, ReturnReason::UndeliveredStart);
+    c.advance_time(MUCH_LATER);
+    assert!(round(&mut c, MUCH_LATER).is_empty());
+}
+
+#[test]
+fn machine_is_kept_if_its_agent_reports_again_before_the_return_is_sent() {
+    // Guards against a return that is not needed any more: the attempt is started in the
+    // agent's next incarnation.
+    let mut c = cluster_with_late_start();
+    answer_probe_after_restart(&mut c, GIVEN_UP_AT + 1.0);
+    c.advance_time(GIVEN_UP_AT + 1.0);
+    assert!(c.workers["sa"].is_being_returned());
+    send_heartbeat(&mut c, "sa", (2, 1), MUCH_LATER);
+    c.advance_time(MUCH_LATER);
+    assert!(!c.workers["sa"].is_being_returned());
+    assert_eq!(start_commands(&c, "sa", MUCH_LATER).len(), 1);
+}
+
+#[test]
+fn cancelled_undelivered_start_holds_its_quota_until_the_machine_is_gone() {
+    // Guards against a team over its quota: the start of a cancelled task was executed after
+    // the next incarnation was taken as its end.
+    let mut c = cluster_with_late_start();
+    c.remove_job("req-1", GIVEN_UP_AT);
+    send_heartbeat(&mut c, "sa", (2, 9), GIVEN_UP_AT + 25.0);
+    assert_eq!(c.quota_usage[0].cpus, 1.0);
+    let commands = c.commands("sa", GIVEN_UP_AT + 25.0);
+    assert!(commands.is_empty(), "{commands:?}");
+    let overdue = GIVEN_UP_AT + c.config.cancel_timeout_s * 0.8;
+    c.advance_time(overdue);
+    let returnable = c.machines_to_return(overdue);
+    assert_eq!(returnable[0].reason, ReturnReason::CancelUnconfirmed);
+    c.deregister_machine("sa", overdue);
+    assert_eq!(c.quota_usage[0].cpus, 0.0);
+}
+
+#[test]
+fn no_further_start_is_sent_directly_while_one_that_was_given_up_is_unseen() {
+    // Guards against binding many tasks to a machine in a partitioned zone.
+    let mut c = cluster(&["la"], 100.0);
+    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
+    round(&mut c, 100.0);
+    let message = c.take_direct_messages(100.0, 1.0).remove(0);
+    c.record_direct_message_result(&message, false, false, GIVEN_UP_AT);
+    c.add_job(spec(2, 1, 1.0), 1, 90.0, &RangeSet::default());
+    send_heartbeat(&mut c, "la", (1, 2), GIVEN_UP_AT);
+    assert_eq!(round(&mut c, GIVEN_UP_AT).len(), 1);
+    let sent = |c: &mut ClusterState, now| -> usize {
+        let messages = c.take_direct_messages(now, 1.0);
+        messages.iter().map(|m| m.started_attempts.len()).sum()
+    };
+    assert_eq!(sent(&mut c, GIVEN_UP_AT + 10.0), 0);
+    assert_eq!(start_commands(&c, "la", GIVEN_UP_AT + 10.0).len(), 2);
+    report_all_running(&mut c, "la", 3, GIVEN_UP_AT + 12.0);
+    c.add_job(spec(3, 1, 1.0), 1, 90.0, &RangeSet::default());
+    round(&mut c, GIVEN_UP_AT + 12.0);
+    assert_eq!(sent(&mut c, GIVEN_UP_AT + 12.0), 1);
+}
--- a/crates/tallygauge-scheduler/src/worker_leases.rs
+++ b/crates/tallygauge-scheduler/src/worker_leases.rs
@@ -49,20 +49,16 @@
             .filter(|worker| !worker.attempts.is_empty() && now > self.lease_expiry(worker))
             .map(|worker| worker.name.clone())
             .collect();
-        let lease_s = self.config.with_clock_drift(self.config.lease_s);
         for machine in expired {
             let Some(worker) = self.workers.get(&machine) else {
                 continue;
             };
             let incarnations = worker.attempts.iter().map(|attempt| attempt.incarnation);
             let last_incarnation = incarnations.max().unwrap_or(0).max(worker.incarnation);
-            let lease_expiry = self.lease_expiry(worker);
             if let Some(worker) = self.workers.get_mut(&machine) {
                 worker.last_dead_incarnation = worker.last_dead_incarnation.max(last_incarnation);
             }
-            self.end_attempts(&machine, now, |attempt| {
-                now > attempt.latest_end(lease_expiry, lease_s)
-            });
+            self.end_attempts(&machine, now, |attempt| !attempt.outlives_incarnation());
         }
     }
 }
--- a/crates/tallygauge-sim/src/machines.rs
+++ b/crates/tallygauge-sim/src/machines.rs
@@ -194,6 +194,16 @@
             .count()
     }
 
+    /// Names of the machines on which tasks of a job were started, in the order of the starts.
+    pub fn machines_of_starts(&self, id: &str) -> Vec<String> {
+        let state = self.state.lock().unwrap();
+        let starts = state.starts.iter();
+        starts
+            .filter(|start| job_of_task(&start.task) == id)
+            .map(|start| start.worker.clone())
+            .collect()
+    }
+
     /// Whether a task of a job could start now: none of the job's tasks is running, its
     /// team's quota allows it, and a connected machine in an allowed zone has capacity.
     pub fn has_startable_task(&self, id: &str) -> bool {
--- a/crates/tallygauge-sim/src/users.rs
+++ b/crates/tallygauge-sim/src/users.rs
@@ -1,7 +1,7 @@
 //! Simulated users, who submit jobs, query their status and cancel them, and helpers for
 //! tests.
 
-use crate::{LEASE_S, Simulation};
+use crate::{HEARTBEAT_INTERVAL_S, LEASE_S, Simulation};
 use serde_json::json;
 use std::{sync::Arc, time::Duration};
 use tallygauge::{
@@ -196,6 +196,18 @@
     (simulation, controller, task)
 }
 
+/// Starts a simulation with this number of booted machines and one controller, `n-a`, and waits
+/// until the controller is the active leader and knows the machines.
+pub async fn start_with_booted_machines(count: u32) -> (Arc<Simulation>, Arc<Controller>) {
+    let simulation = Simulation::new();
+    simulation.state.lock().unwrap().add_booted_machines(count);
+    tokio::spawn(simulation.clone().run_workers());
+    let (controller, _task) = simulation.start_controller("n-a");
+    assert!(eventually(30.0, async || is_active_leader(&controller)).await);
+    sleep_s(HEARTBEAT_INTERVAL_S * 2.0).await;
+    (simulation, controller)
+}
+
 /// Total number of task starts so far.
 pub fn count_starts(simulation: &Simulation) -> usize {
     simulation.state.lock().unwrap().starts.len()
--- /dev/null
+++ b/crates/tallygauge-sim/tests/undelivered_starts.rs
@@ -0,0 +1,134 @@
+//! Direct messages with starts that are held in transit for longer than anything may be
+//! expected to end them: leases, incarnations, terms.
+
+use std::sync::Arc;
+use tallygauge::controller::Controller;
+use tallygauge_sim::{
+    HEARTBEAT_INTERVAL_S, LEASE_S, Simulation, eventually, sleep_s, start_with_booted_machines,
+    submit_job, wait_until_done,
+};
+
+/// A hold of direct commands that ends after the worker's lease has expired several times.
+const HOLD_S: f64 = LEASE_S * 3.2;
+
+/// Time between the restart of an agent and the arrival of a held message, short enough for the
+/// agent to be in its first incarnation.
+const RESTART_BEFORE_ARRIVAL_S: f64 = LEASE_S * 0.4;
+
+/// A job of one task whose start is held in transit to one of two machines. The other machine is
+/// free soon. The cloud answers nothing, so that no machine is returned or rented.
+struct HeldStart {
+    simulation: Arc<Simulation>,
+    controller: Arc<Controller>,
+    job: String,
+    /// The machine to which the start is held.
+    machine: String,
+}
+
+impl HeldStart {
+    /// The other machine is free after `filler_run_s`. Heartbeats of the machine to which the
+    /// start is held are blocked as well.
+    async fn new(filler_run_s: f64) -> Self {
+        let (simulation, controller) = start_with_booted_machines(2).await;
+        simulation.set_faults(|faults| faults.cloud_down = true);
+        submit_job(&simulation, &controller, 2, 1, 7.0, filler_run_s).await;
+        // A machine that was idle for longer would be about to be returned.
+        let other = submit_job(&simulation, &controller, 3, 1, 2.0, 1.0).await;
+        assert!(wait_until_done(&controller, &other).await);
+        let machine = simulation.machines_of_starts(&other).remove(0);
+        simulation.hold_commands(&machine, HOLD_S);
+        simulation.set_outbound_blocked(&machine, true);
+        let job = submit_job(&simulation, &controller, 1, 1, 2.0, LEASE_S * 4.0).await;
+        let is_held = eventually(HEARTBEAT_INTERVAL_S, async || {
+            simulation.undelivered_starts(&job) == 1
+        });
+        assert!(is_held.await, "the start of the job is not in transit");
+        Self {
+            simulation,
+            controller,
+            job,
+            machine,
+        }
+    }
+
+    fn set_heartbeats_blocked(&self, blocked: bool) {
+        self.simulation.set_outbound_blocked(&self.machine, blocked);
+    }
+
+    fn restart_agent(&self) {
+        self.simulation.restart_agent(&self.machine);
+    }
+
+    /// Checks that the task runs on the machine to which its start is held, or nowhere.
+    fn assert_not_started_elsewhere(&self) {
+        for machine in self.simulation.machines_of_starts(&self.job) {
+            assert_eq!(machine, self.machine);
+        }
+    }
+
+    /// Checks that the job is done at last, and that no rule was broken.
+    async fn assert_done(&self) {
+        assert!(wait_until_done(&self.controller, &self.job).await);
+        self.simulation.assert_invariants();
+    }
+}
+
+// Guards against a task on two machines: the start was held for longer than two leases by a
+// partition and executed by an agent that had restarted, while the task ran elsewhere.
+#[tokio::test(start_paused = true)]
+async fn task_whose_start_is_held_past_two_leases_is_not_started_elsewhere() {
+    let held = HeldStart::new(LEASE_S * 2.4).await;
+    sleep_s(HOLD_S - RESTART_BEFORE_ARRIVAL_S).await;
+    held.assert_not_started_elsewhere();
+    held.restart_agent();
+    sleep_s(RESTART_BEFORE_ARRIVAL_S + HEARTBEAT_INTERVAL_S).await;
+    held.simulation.assert_invariants();
+    held.set_heartbeats_blocked(false);
+    held.simulation
+        .set_faults(|faults| faults.cloud_down = false);
+    held.assert_done().await;
+}
+
+// Guards against taking a later incarnation, of which the leader was told, as the end of the
+// start: the agent restarted after that.
+#[tokio::test(start_paused = true)]
+async fn held_start_does_not_run_twice_if_the_agent_restarts_after_a_later_incarnation() {
+    let held = HeldStart::new(LEASE_S * 1.6).await;
+    sleep_s(LEASE_S * 1.5).await;
+    held.set_heartbeats_blocked(false);
+    let is_running = eventually(LEASE_S, async || {
+        held.simulation.running_task_count(&held.job) == 1
+    });
+    assert!(is_running.await, "no heartbeat response carried the start");
+    held.assert_not_started_elsewhere();
+    held.set_heartbeats_blocked(true);
+    sleep_s(HOLD_S - LEASE_S * 1.5 - RESTART_BEFORE_ARRIVAL_S).await;
+    held.restart_agent();
+    sleep_s(RESTART_BEFORE_ARRIVAL_S + HEARTBEAT_INTERVAL_S).await;
+    held.simulation.assert_invariants();
+    held.set_heartbeats_blocked(false);
+    held.assert_done().await;
+}
+
+// Guards against a task that waits for a machine with room for it although the partition is over.
+#[tokio::test(start_paused = true)]
+async fn task_with_a_held_start_runs_on_its_machine_as_soon_as_that_reports_again() {
+    let held = HeldStart::new(LEASE_S * 2.4).await;
+    sleep_s(LEASE_S * 2.5).await;
+    held.set_heartbeats_blocked(false);
+    let is_running = eventually(HEARTBEAT_INTERVAL_S * 3.0, async || {
+        held.simulation.running_task_count(&held.job) == 1
+    });
+    assert!(is_running.await);
+    held.assert_done().await;
+}
+
+// Guards against a task that waits for a machine that never reports again.
+#[tokio::test(start_paused = true)]
+async fn task_with_a_held_start_runs_elsewhere_once_its_silent_machine_is_returned() {
+    let held = HeldStart::new(LEASE_S * 2.4).await;
+    held.simulation
+        .set_faults(|faults| faults.cloud_down = false);
+    held.assert_done().await;
+    assert!(!held.simulation.booted_machines().contains(&held.machine));
+}
