Scheduler: a start is delivered if nothing else can have brought the attempt

A direct message is executed at most once. If a worker reports an attempt whose start no heartbeat response carried, the direct message with it has arrived, even if its answer was lost or came too late. Until now the start counted as undelivered all the same, so that the attempt was never cleared, and a machine would have been returned for it.

The test attempt_with_indeterminate_start_is_not_forgotten_until_its_incarnation_ends let the worker report an attempt that it can have had from the direct message alone, and wanted the message to be on its way still. It now records the heartbeat response with the start, as the leader does when it sends it; its checks are as they were.

--- a/crates/tallygauge-scheduler/src/commands.rs
+++ b/crates/tallygauge-scheduler/src/commands.rs
@@ -47,6 +47,7 @@
             let is_start = matches!(command, Command::Start { .. });
             for attempt in worker.attempts.iter_mut().filter(|a| a.number == number) {
                 attempt.start_sent |= is_start;
+                attempt.start_sent_in_response |= is_start;
                 attempt.awaiting_acknowledgement = true;
                 worker.acknowledgement_due = true;
             }
--- a/crates/tallygauge-scheduler/src/direct_messages.rs
+++ b/crates/tallygauge-scheduler/src/direct_messages.rs
@@ -174,7 +174,7 @@
             if message.started_attempts.contains(&attempt.number) {
                 attempt.start_messages_in_flight =
                     attempt.start_messages_in_flight.saturating_sub(1);
-                if !answered && !never_sent {
+                if !answered && !never_sent && !attempt.is_direct_start_delivered() {
                     attempt.start_indeterminate_since = Some(now);
                 }
             }
--- a/crates/tallygauge-scheduler/src/model/attempt.rs
+++ b/crates/tallygauge-scheduler/src/model/attempt.rs
@@ -98,6 +98,9 @@
     pub restored: bool,
     /// Whether its start command was sent, in a heartbeat response or a direct message.
     pub start_sent: bool,
+    /// Whether a heartbeat response carried its start command. If none did, the worker can have
+    /// the attempt only from the direct message with its start.
+    pub start_sent_in_response: bool,
     /// Number of direct messages with its start command that are in flight.
     pub start_messages_in_flight: u32,
     /// Since when the outcome of a direct message with its start command is indeterminate:
@@ -135,6 +138,7 @@
             stop: None,
             restored: false,
             start_sent: false,
+            start_sent_in_response: false,
             start_messages_in_flight: 0,
             start_indeterminate_since: None,
             end_durable: false,
@@ -175,6 +179,24 @@
         self.phase = AttemptPhase::Observed(state);
     }
 
+    /// Records that a heartbeat reports it, in any state.
+    pub(crate) fn record_seen(&mut self) {
+        self.start_sent = true;
+        if !self.start_sent_in_response {
+            self.start_indeterminate_since = None;
+        }
+    }
+
+    /// Whether the direct message with its start has certainly arrived: the worker has the
+    /// attempt, and nothing else carried its start.
+    pub(crate) fn is_direct_start_delivered(&self) -> bool {
+        let is_seen = matches!(
+            self.phase,
+            AttemptPhase::Observed(_) | AttemptPhase::Ended(_)
+        );
+        is_seen && !self.start_sent_in_response
+    }
+
     /// Records that a heartbeat reports its end.
     pub(crate) fn end(&mut self, cause: EndCause) {
         self.phase = AttemptPhase::Ended(cause);
--- a/crates/tallygauge-scheduler/src/task_status.rs
+++ b/crates/tallygauge-scheduler/src/task_status.rs
@@ -85,7 +85,7 @@
         };
         let attempt = &mut worker.attempts[position];
         attempt.incarnation = incarnation;
-        attempt.start_sent = true;
+        attempt.record_seen();
         if attempt.is_ended() {
             return;
         }
--- a/crates/tallygauge-scheduler/src/tests/attempt_lifecycle.rs
+++ b/crates/tallygauge-scheduler/src/tests/attempt_lifecycle.rs
@@ -37,6 +37,8 @@
     assert_eq!(message.started_attempts.len(), 1);
     cluster.record_direct_message_result(&message, false, false, 104.0);
     let (name, attempt) = start_commands(&cluster, "sa", 104.0).remove(0);
+    let commands = cluster.commands("sa", 104.0);
+    cluster.record_heartbeat_response("sa", &commands, 104.0);
     let done = task(&name, attempt, TaskState::Ended, Some(EndCause::Done));
     cluster.apply_heartbeat(
         110.0,
--- a/crates/tallygauge-scheduler/src/tests/undelivered_starts.rs
+++ b/crates/tallygauge-scheduler/src/tests/undelivered_starts.rs
@@ -86,6 +86,8 @@
             .all(|message| message.started_attempts.is_empty()),
         "a start goes out in one direct message at most"
     );
+    let commands = c.commands("sa", MUCH_LATER);
+    c.record_heartbeat_response("sa", &commands, MUCH_LATER);
     let running = task("req-1/0", attempt, TaskState::Running, None);
     let heartbeat = heartbeat_from("sa", 2, 10, TERM, vec![running]);
     c.apply_heartbeat(MUCH_LATER + 2.0, &heartbeat, HeartbeatSource::Periodic);
@@ -165,3 +167,36 @@
     round(&mut c, GIVEN_UP_AT + 12.0);
     assert_eq!(sent(&mut c, GIVEN_UP_AT + 12.0), 1);
 }
+
+#[test]
+fn start_is_delivered_if_the_worker_has_the_attempt_from_nothing_but_the_direct_message() {
+    // Guards against returning a machine for a start that has arrived: a message is executed
+    // once, and no other carried the start.
+    for is_given_up_first in [true, false] {
+        let mut c = cluster(&["sa"], 100.0);
+        c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
+        round(&mut c, 100.0);
+        let message = c.take_direct_messages(100.0, 1.0).remove(0);
+        let give_up = |c: &mut ClusterState| {
+            c.record_direct_message_result(&message, false, false, GIVEN_UP_AT);
+        };
+        if is_given_up_first {
+            give_up(&mut c);
+        }
+        report_all_running(&mut c, "sa", 2, GIVEN_UP_AT);
+        if !is_given_up_first {
+            give_up(&mut c);
+        }
+        assert!(!c.workers["sa"].attempts[0].may_yet_start());
+    }
+}
+
+#[test]
+fn start_is_undelivered_if_the_worker_may_have_the_attempt_from_a_heartbeat_response() {
+    // Guards against the reverse: the direct message is still on its way.
+    let mut c = cluster_with_late_start();
+    let commands = c.commands("sa", GIVEN_UP_AT);
+    c.record_heartbeat_response("sa", &commands, GIVEN_UP_AT);
+    report_all_running(&mut c, "sa", 2, GIVEN_UP_AT + 2.0);
+    assert!(c.workers["sa"].attempts[0].may_yet_start());
+}
