Scheduler: an ended attempt whose direct start was given up ends with its machine

Cause: the end of an attempt was taken as the end of its start.

Change: an attempt that ends without completing its task is retained, with its task, capacity and quota, while its start may arrive. If its task waits for that, the machine takes no more work, is drained, and returned after two leases at most; if it is cancelled, the machine is returned in time for the cancel timeout, whether a heartbeat came since or not. An attempt whose message is answered after all is released with the answer. Such attempts are not preempted. Those of earlier incarnations don't count as reported.

Of the new tests in undelivered_starts.rs, the four on retained attempts and the one on preemption can't pass before, since the attempts were released at their end.

--- a/crates/tallygauge-scheduler/src/attempt_accounting.rs
+++ b/crates/tallygauge-scheduler/src/attempt_accounting.rs
@@ -120,6 +120,7 @@
     /// Releases what an attempt occupies: resources, quota, and its place in the counts of
     /// its job and its batch. Must be called exactly once for each attempt.
     pub(crate) fn release_attempt(&mut self, machine: &str, attempt: &Attempt, now: f64) {
+        self.count_run(attempt, now);
         let Some(worker) = self.workers.get_mut(machine) else {
             return;
         };
@@ -135,9 +136,6 @@
             self.quota_usage[team].add_scaled(&attempt.spec, -1.0);
         }
         if let Some(job) = self.jobs.get_mut(&attempt.spec.id) {
-            if attempt.run_time_s(now) >= MIN_COUNTED_RUN_S {
-                job.unstarted.remove(attempt.index);
-            }
             decrement(&mut job.attempts_by_task, &attempt.index);
             decrement(&mut job.attempts_by_zone, worker.zone.as_str());
         }
@@ -149,6 +147,16 @@
         }
     }
 
+    /// Counts the task of an attempt as started if the attempt ran for long enough. Must be
+    /// called before the attempt's run time is reset.
+    pub(crate) fn count_run(&mut self, attempt: &Attempt, now: f64) {
+        if attempt.run_time_s(now) >= MIN_COUNTED_RUN_S
+            && let Some(job) = self.jobs.get_mut(&attempt.spec.id)
+        {
+            job.unstarted.remove(attempt.index);
+        }
+    }
+
     /// Makes the task of an attempt pending again, unless the task is completed or another
     /// attempt of it occupies a machine. The task resumes from `checkpointed_s`. `restriction`
     /// says when it may be placed again, on any machine and on this one.
--- a/crates/tallygauge-scheduler/src/cluster_state.rs
+++ b/crates/tallygauge-scheduler/src/cluster_state.rs
@@ -238,6 +238,9 @@
             for attempt in attempts.filter(|attempt| attempt.spec.id == job.spec.id) {
                 if attempt.is_ended() {
                     attempt.end_durable = true;
+                    if attempt.may_yet_start() && !job.is_complete() {
+                        attempt.request_stop(StopReason::Cancelled, now);
+                    }
                     continue;
                 }
                 attempt.request_stop(StopReason::Cancelled, now);
--- a/crates/tallygauge-scheduler/src/direct_messages.rs
+++ b/crates/tallygauge-scheduler/src/direct_messages.rs
@@ -179,6 +179,7 @@
                 }
             }
         }
+        self.release_delivered_attempts(&message.worker, now);
     }
 }
 
@@ -213,7 +214,7 @@
             return 0;
         }
         let limit = config.max_attempts_per_worker as f64 * MAX_UNDELIVERED_START_FRACTION;
-        let undelivered = self.attempts.iter().filter(|a| a.may_yet_start());
+        let undelivered = self.reportable_attempts().filter(|a| a.may_yet_start());
         (limit as usize).saturating_sub(undelivered.count())
     }
 
--- a/crates/tallygauge-scheduler/src/machines.rs
+++ b/crates/tallygauge-scheduler/src/machines.rs
@@ -192,7 +192,7 @@
             (ReturnReason::Slow, is_slow(worker)),
             (
                 ReturnReason::UndeliveredStart,
-                worker.has_restarted_before_late_start(),
+                worker.must_end_before_late_start(),
             ),
             (
                 ReturnReason::CancelUnconfirmed,
@@ -329,7 +329,7 @@
     };
     worker.attempts.iter().any(|attempt| {
         let is_overdue = attempt.stop.is_some_and(|stop| is_overdue(attempt, stop));
-        is_overdue && attempt.occupies_capacity()
+        is_overdue && (attempt.occupies_capacity() || attempt.is_start_indeterminate())
     })
 }
 
--- a/crates/tallygauge-scheduler/src/mapping/preemption.rs
+++ b/crates/tallygauge-scheduler/src/mapping/preemption.rs
@@ -49,6 +49,7 @@
     /// Whether an attempt may be preempted at all. All of these must hold:
     /// - it runs and is not being stopped;
     /// - it is a task of an array and saves checkpoints;
+    /// - its start can't arrive once more, so that its task can be placed elsewhere;
     /// - its job has no priority claim;
     /// - it is not protected by its job's start deadline.
     fn is_preemptible(&self, attempt: &Attempt) -> bool {
@@ -56,6 +57,7 @@
             && attempt.phase == AttemptPhase::Observed(TaskState::Running)
             && attempt.spec.checkpoint_every_s > 0.0
             && attempt.spec.shape == Shape::Array
+            && !attempt.may_yet_start()
             && !self.minimum_share.claims.contains_key(&attempt.spec.id)
             && !self.is_protected_start(attempt)
     }
--- a/crates/tallygauge-scheduler/src/model/attempt.rs
+++ b/crates/tallygauge-scheduler/src/model/attempt.rs
@@ -109,6 +109,9 @@
     pub start_indeterminate_since: Option<f64>,
     /// Whether everything that follows from its end is durable.
     pub end_durable: bool,
+    /// Whether it occupies its task, capacity and quota although it has ended: its start may
+    /// still arrive and run the task once more.
+    pub retained_after_end: bool,
     /// Id of the durable placement batch that contains it, if any.
     pub batch: Option<Arc<str>>,
     /// Whether the last heartbeat response carried its start command or told the worker
@@ -142,6 +145,7 @@
             start_messages_in_flight: 0,
             start_indeterminate_since: None,
             end_durable: false,
+            retained_after_end: false,
             batch: None,
             awaiting_acknowledgement: false,
         }
@@ -223,16 +227,17 @@
         matches!(self.phase, AttemptPhase::Ended(_))
     }
 
-    /// Whether it occupies capacity of its machine: until its end is reported.
+    /// Whether it occupies capacity of its machine: until its end is reported, and after that
+    /// for as long as it is retained.
     #[must_use]
     pub fn occupies_capacity(&self) -> bool {
-        !self.is_ended()
+        !self.is_ended() || self.retained_after_end
     }
 
     /// Whether it is being stopped: it occupies capacity until its end is reported.
     #[must_use]
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stop.is_some() && self.occupies_capacity()
+        self.stop.is_some() && !self.is_ended()
     }
 
     /// Whether it occupies capacity but no durable placement batch contains it.
@@ -253,18 +258,6 @@
         self.start_messages_in_flight > 0 || self.start_indeterminate_since.is_some()
     }
 
-    /// Moves it to a later incarnation of its agent, which does not run it: it is started there
-    /// anew unless the agent executes the earlier start first. Any decision to stop it is
-    /// dropped.
-    pub(crate) fn carry_over(&mut self, incarnation: u64, checkpointed_s: f64) {
-        self.incarnation = incarnation;
-        self.phase = AttemptPhase::Recorded;
-        self.running_since = None;
-        self.checkpointed_s = checkpointed_s;
-        self.stop = None;
-        self.awaiting_acknowledgement = false;
-    }
-
     /// The task's name on the wire, such as `req-000412/3`.
     #[must_use]
     pub fn task_name(&self) -> String {
--- a/crates/tallygauge-scheduler/src/model/return_decisions.rs
+++ b/crates/tallygauge-scheduler/src/model/return_decisions.rs
@@ -16,7 +16,8 @@
     Slow,
     /// It did not confirm in time that cancelled tasks have ended.
     CancelUnconfirmed,
-    /// Its agent has restarted while a start that it did not answer may still arrive.
+    /// A start that it did not answer may still arrive. Its agent has restarted meanwhile, or
+    /// the attempt has ended and its task is to be placed elsewhere.
     UndeliveredStart,
     /// It has sent no heartbeat for several leases.
     Silent,
--- a/crates/tallygauge-scheduler/src/model/room.rs
+++ b/crates/tallygauge-scheduler/src/model/room.rs
@@ -52,13 +52,13 @@
         let limit = config.max_attempts_per_worker;
         Room {
             resources: self.free_resources,
-            attempts: saturating_u32(limit.saturating_sub(self.attempts.len())),
+            attempts: saturating_u32(limit.saturating_sub(self.reportable_attempts().count())),
         }
     }
 
     /// The room on the machine once its ended attempts are cleared, as far as they can be.
     pub(crate) fn room_after_clears(&self, config: &Config) -> Room {
-        let attempts = self.attempts.iter();
+        let attempts = self.reportable_attempts();
         let reported = attempts.filter(|a| a.occupies_capacity() || a.may_yet_start());
         let limit = config.max_attempts_per_worker;
         Room {
--- a/crates/tallygauge-scheduler/src/model/worker.rs
+++ b/crates/tallygauge-scheduler/src/model/worker.rs
@@ -211,12 +211,18 @@
         !self.return_decisions.is_empty()
     }
 
+    /// The attempts that it reports once their starts have been executed. Those of earlier
+    /// incarnations are only retained.
+    pub(crate) fn reportable_attempts(&self) -> impl Iterator<Item = &Attempt> {
+        let attempts = self.attempts.iter();
+        attempts.filter(|attempt| attempt.incarnation >= self.incarnation)
+    }
+
     /// Number of its ended attempts that it can't be told to forget, because the direct message
     /// with their start may still arrive.
     #[must_use]
     pub fn undelivered_ended_attempts(&self) -> usize {
-        let attempts = self.attempts.iter();
-        attempts
+        self.reportable_attempts()
             .filter(|attempt| attempt.is_ended() && attempt.may_yet_start())
             .count()
     }
--- a/crates/tallygauge-scheduler/src/scale_in.rs
+++ b/crates/tallygauge-scheduler/src/scale_in.rs
@@ -53,6 +53,10 @@
     pub reason: ReturnReason,
 }
 
+/// How long a machine that has to be returned because of an undelivered start goes on with
+/// its other tasks, in leases.
+const MAX_DRAIN_LEASES: f64 = 2.0;
+
 impl ClusterState {
     /// Updates which machines are marked as surplus. To be called about once per heartbeat
     /// interval.
@@ -220,7 +224,10 @@
                     now - self.term_started_at > settle_s
                 }
                 ReturnReason::Silent | ReturnReason::Unreachable => now - decision.at > settle_s,
-                ReturnReason::UndeliveredStart => worker.agent_restarted,
+                ReturnReason::UndeliveredStart => {
+                    worker.agent_restarted
+                        || now - decision.at > self.config.lease_s * MAX_DRAIN_LEASES
+                }
                 ReturnReason::Faulty | ReturnReason::Slow | ReturnReason::Idle => false,
             };
             let is_vacated = !worker.has_live_attempts() && !has_unsaved_ends;
--- a/crates/tallygauge-scheduler/src/task_end.rs
+++ b/crates/tallygauge-scheduler/src/task_end.rs
@@ -31,8 +31,7 @@
         cause: EndCause,
         is_checkpointed: bool,
     ) {
-        let is_open = self.jobs.contains_key(&attempt.spec.id);
-        if cause == EndCause::Done && is_open && attempt.spec.shape == Shape::Array {
+        if self.completes_task(attempt, cause) {
             self.record_run_time(attempt, machine, now);
             self.record_task_completed(machine, position, attempt);
             self.stop_duplicates(attempt, now);
@@ -44,11 +43,7 @@
         }
         match cause {
             EndCause::Halted | EndCause::Done => {
-                let checkpointed_s = if is_checkpointed {
-                    attempt.checkpointed_s + attempt.run_time_s(now)
-                } else {
-                    self.checkpoint_after_loss(attempt, now)
-                };
+                let checkpointed_s = self.checkpoint_after_end(attempt, is_checkpointed, now);
                 self.requeue(attempt, checkpointed_s, machine, None);
             }
             EndCause::Error | EndCause::NoSuch | EndCause::Unknown => {
@@ -65,6 +60,27 @@
         }
     }
 
+    /// Whether an attempt that ended for this reason has completed its task.
+    pub(crate) fn completes_task(&self, attempt: &Attempt, cause: EndCause) -> bool {
+        let is_open = self.jobs.contains_key(&attempt.spec.id);
+        cause == EndCause::Done && is_open && attempt.spec.shape == Shape::Array
+    }
+
+    /// Run time that the checkpoint of an ended attempt holds, in seconds. `is_checkpointed`
+    /// says whether all of its progress was saved at its end.
+    pub(crate) fn checkpoint_after_end(
+        &self,
+        attempt: &Attempt,
+        is_checkpointed: bool,
+        now: f64,
+    ) -> f64 {
+        if is_checkpointed {
+            attempt.checkpointed_s + attempt.run_time_s(now)
+        } else {
+            self.checkpoint_after_loss(attempt, now)
+        }
+    }
+
     /// Records that a task of an open job is completed. Its end becomes durable when its
     /// chunk is written.
     fn record_task_completed(&mut self, machine: &str, position: usize, attempt: &Attempt) {
--- a/crates/tallygauge-scheduler/src/task_status.rs
+++ b/crates/tallygauge-scheduler/src/task_status.rs
@@ -193,8 +193,12 @@
                 checkpointed: status.checkpointed,
             }));
         }
-        self.release_attempt(machine, &attempt, now);
         let is_checkpointed = status.checkpointed.unwrap_or(false);
+        if self.must_retain_after_end(&attempt, cause) {
+            self.retain_after_end(now, machine, position, is_checkpointed);
+            return;
+        }
+        self.release_attempt(machine, &attempt, now);
         self.handle_task_end(now, machine, position, &attempt, cause, is_checkpointed);
     }
 }
--- a/crates/tallygauge-scheduler/src/tests/undelivered_starts.rs
+++ b/crates/tallygauge-scheduler/src/tests/undelivered_starts.rs
@@ -200,3 +200,141 @@
     report_all_running(&mut c, "sa", 2, GIVEN_UP_AT + 2.0);
     assert!(c.workers["sa"].attempts[0].may_yet_start());
 }
+
+/// A cluster as [`cluster_with_late_start`], in which a heartbeat response carried the start as
+/// well, and `sa` reports the attempt in this state. `sb` does not exist.
+fn cluster_with_repeated_start(state: TaskState, cause: Option<EndCause>) -> ClusterState {
+    let mut c = cluster(&["sa"], 100.0);
+    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
+    round(&mut c, 100.0);
+    let message = c.take_direct_messages(100.0, 1.0).remove(0);
+    let commands = c.commands("sa", 100.0);
+    c.record_heartbeat_response("sa", &commands, 100.0);
+    c.record_direct_message_result(&message, false, false, GIVEN_UP_AT);
+    report(&mut c, (1, 2), state, cause, GIVEN_UP_AT);
+    c
+}
+
+/// Lets `sa` report its only attempt in this state.
+fn report(
+    c: &mut ClusterState,
+    mark: (u64, u64),
+    state: TaskState,
+    cause: Option<EndCause>,
+    now: f64,
+) {
+    let attempt = c.workers["sa"].attempts[0].number;
+    let tasks = vec![task("req-1/0", attempt, state, cause)];
+    let heartbeat = heartbeat_from("sa", mark.0, mark.1, TERM, tasks);
+    c.apply_heartbeat(now, &heartbeat, HeartbeatSource::Periodic);
+}
+
+#[test]
+fn machine_with_a_stopped_task_of_a_cancelled_job_is_returned_before_a_late_start_of_it() {
+    // Guards against a cancelled task that starts again: it ran by a heartbeat response and was
+    // stopped, and the direct message arrived after a restart of the agent.
+    let mut c = cluster_with_repeated_start(TaskState::Running, None);
+    c.remove_job("req-1", GIVEN_UP_AT);
+    report(
+        &mut c,
+        (1, 3),
+        TaskState::Ended,
+        Some(EndCause::Halted),
+        GIVEN_UP_AT + 2.0,
+    );
+    assert_eq!(c.quota_usage[0].cpus, 1.0, "it may start once more");
+    assert!(!c.workers["sa"].accepts_work(GIVEN_UP_AT + 2.0, &c.config));
+    let overdue = GIVEN_UP_AT + c.config.cancel_timeout_s * 0.8;
+    c.advance_time(overdue);
+    let returnable = c.machines_to_return(overdue);
+    assert_eq!(returnable[0].reason, ReturnReason::CancelUnconfirmed);
+    c.deregister_machine("sa", overdue);
+    assert_eq!(c.quota_usage[0].cpus, 0.0);
+}
+
+#[test]
+fn machine_is_returned_if_the_job_of_a_completed_undelivered_start_is_cancelled_later() {
+    // Guards against the same for a task that was completed before the cancellation, also if
+    // its incarnation has ended by then.
+    let mut c = cluster(&["sa"], 100.0);
+    c.add_job(spec(1, 2, 4.0), 1, 90.0, &RangeSet::default());
+    round(&mut c, 100.0);
+    let message = c.take_direct_messages(100.0, 1.0).remove(0);
+    let commands = c.commands("sa", 100.0);
+    c.record_heartbeat_response("sa", &commands, 100.0);
+    c.record_direct_message_result(&message, false, false, GIVEN_UP_AT);
+    report(
+        &mut c,
+        (1, 2),
+        TaskState::Ended,
+        Some(EndCause::Done),
+        GIVEN_UP_AT,
+    );
+    assert_eq!(
+        c.quota_usage[0].cpus, 0.0,
+        "a completed task ends at once if it starts again"
+    );
+    send_heartbeat(&mut c, "sa", (2, 3), GIVEN_UP_AT + 25.0);
+    c.remove_job("req-1", GIVEN_UP_AT + 25.0);
+    let overdue = GIVEN_UP_AT + 25.0 + c.config.cancel_timeout_s * 0.8;
+    c.advance_time(overdue);
+    let returnable = c.machines_to_return(overdue);
+    assert_eq!(returnable[0].reason, ReturnReason::CancelUnconfirmed);
+}
+
+#[test]
+fn failed_task_whose_start_may_still_arrive_is_retried_when_the_machine_is_gone() {
+    // Guards against a task on two machines: it failed, was started elsewhere, and the direct
+    // message with its first start arrived after a restart of the agent.
+    let mut c = cluster_with_repeated_start(TaskState::Ended, Some(EndCause::Error));
+    send_heartbeat(&mut c, "sb", (1, 1), MUCH_LATER - 1.0);
+    assert!(round(&mut c, MUCH_LATER).is_empty());
+    c.advance_time(GIVEN_UP_AT);
+    c.add_job(spec(2, 1, 1.0), 1, 90.0, &RangeSet::default());
+    assert_eq!(
+        round(&mut c, MUCH_LATER)[0].2,
+        "sb",
+        "the other takes no more work"
+    );
+    let drained = GIVEN_UP_AT + c.config.lease_s * 2.5;
+    let returnable = c.machines_to_return(drained);
+    assert_eq!(returnable[0].reason, ReturnReason::UndeliveredStart);
+    c.deregister_machine("sa", drained);
+    assert_eq!(round(&mut c, MUCH_LATER).len(), 1);
+}
+
+#[test]
+fn task_that_was_refused_before_its_message_was_answered_is_requeued_with_the_answer() {
+    // Guards against a task that is retained for a start that has arrived.
+    let mut c = cluster(&["sa"], 100.0);
+    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
+    round(&mut c, 100.0);
+    let message = c.take_direct_messages(100.0, 1.0).remove(0);
+    report(
+        &mut c,
+        (1, 2),
+        TaskState::Ended,
+        Some(EndCause::NoRoom),
+        100.5,
+    );
+    assert_eq!(placed_on(&c, "sa"), 1);
+    c.record_direct_message_result(&message, true, false, 100.6);
+    assert_eq!(placed_on(&c, "sa"), 0);
+    assert_eq!(c.quota_usage[0].cpus, 0.0);
+    assert_eq!(c.jobs["req-1"].resumable.len(), 1);
+    assert!(matches!(
+        c.commands("sa", 101.0)[..],
+        [Command::Clear { .. }]
+    ));
+}
+
+#[test]
+fn task_whose_start_may_still_arrive_is_not_preempted() {
+    // Guards against a preempted task that can't be placed until its machine is gone.
+    let mut c = cluster_with_repeated_start(TaskState::Running, None);
+    let mut urgent = spec(2, 1, 4.0);
+    urgent.priority = Priority::High;
+    c.add_job(urgent, 1, 90.0, &RangeSet::default());
+    round(&mut c, GIVEN_UP_AT + 1.0);
+    assert!(c.workers["sa"].attempts[0].stop.is_none());
+}
--- a/crates/tallygauge-scheduler/src/undelivered_starts.rs
+++ b/crates/tallygauge-scheduler/src/undelivered_starts.rs
@@ -1,81 +1,200 @@
 //! Direct messages with starts that were given up. Such a message may arrive at any later
-//! time, and its start is executed if its incarnation matches that of the agent. A later
-//! incarnation does not rule that out: an agent that restarts begins with the first
-//! incarnation again, and has forgotten the attempt.
+//! time, and its start is executed if its incarnation matches that of the agent, unless the
+//! agent knows the attempt. A later incarnation does not rule that out: an agent that restarts
+//! begins with the first incarnation again, and knows no attempt.
 //!
 //! So the task of such an attempt is bound to its machine for as long as the machine exists:
-//! - the attempt is not taken as over when its incarnation ends;
-//! - when the agent reports in a later incarnation, heartbeat responses start the same
-//!   attempt there; a late start of an attempt that the agent knows has no effect;
-//! - when the agent has restarted, or the attempt is cancelled, the machine is returned to the
-//!   cloud. The task is released when the machine no longer exists.
+//! - The attempt is not taken as over when its incarnation ends. When the agent reports in a
+//!   later one, heartbeat responses start the same attempt there.
+//! - An attempt that ends without completing its task is retained, and its task with it.
+//! - The machine is returned to the cloud if the agent has restarted, if the task is to be
+//!   placed elsewhere, or if the attempt is cancelled.
 
 use crate::{cluster_state::ClusterState, model::*};
+use std::collections::BTreeSet;
+use tallygauge_protocol::workers::EndCause;
 
 impl ClusterState {
     /// Ends the attempts on a machine of agent incarnations before `incarnation`, in which its
     /// agent now reports. Those whose start may still arrive are kept; unless they are
-    /// cancelled, they are started again in this incarnation.
+    /// cancelled or have ended, they are started again in this incarnation.
     pub(crate) fn end_earlier_incarnations(&mut self, machine: &str, incarnation: u64, now: f64) {
-        self.end_attempts(machine, now, |attempt| {
-            attempt.incarnation < incarnation && !attempt.outlives_incarnation()
-        });
         let Some(worker) = self.workers.get(machine) else {
             return;
         };
-        let kept = worker.attempts.iter().enumerate();
-        let carried_over: Vec<(usize, f64)> = kept
-            .filter(|(_, attempt)| attempt.incarnation < incarnation && !attempt.is_cancelled())
-            .map(|(position, attempt)| (position, self.checkpoint_after_loss(attempt, now)))
+        let mut earlier = worker.attempts.iter();
+        if !earlier.any(|attempt| attempt.incarnation < incarnation) {
+            return;
+        }
+        self.end_dead_attempts(machine, now, |attempt| attempt.incarnation < incarnation);
+        self.carry_over_attempts(machine, incarnation, now);
+    }
+
+    /// Ends the attempts on a machine that `is_dead` selects, whose agent incarnations have
+    /// ended. Keeps those whose start may still arrive.
+    pub(crate) fn end_dead_attempts(
+        &mut self,
+        machine: &str,
+        now: f64,
+        is_dead: impl Fn(&Attempt) -> bool,
+    ) {
+        let Some(worker) = self.workers.get(machine) else {
+            return;
+        };
+        let attempts = worker.attempts.iter();
+        let over: BTreeSet<u64> = attempts
+            .filter(|attempt| is_dead(attempt) && !self.outlives_incarnation(attempt))
+            .map(|attempt| attempt.number)
             .collect();
-        if let Some(worker) = self.workers.get_mut(machine) {
-            for (position, checkpointed_s) in carried_over {
-                worker.attempts[position].carry_over(incarnation, checkpointed_s);
-            }
+        self.end_attempts(machine, now, |attempt| over.contains(&attempt.number));
+    }
+
+    /// Whether an attempt is kept when its agent incarnation ends: its start may still arrive,
+    /// and the task of a job that is open or was cancelled would run once more.
+    fn outlives_incarnation(&self, attempt: &Attempt) -> bool {
+        let is_settled = attempt.is_ended()
+            && !attempt.is_cancelled()
+            && !self.jobs.contains_key(&attempt.spec.id);
+        attempt.may_yet_start() && !is_settled
+    }
+
+    /// Starts the attempts of earlier incarnations again in this one.
+    fn carry_over_attempts(&mut self, machine: &str, incarnation: u64, now: f64) {
+        let Some(worker) = self.workers.get(machine) else {
+            return;
+        };
+        let carried_over: Vec<Attempt> = worker
+            .attempts
+            .iter()
+            .filter(|attempt| attempt.incarnation < incarnation && attempt.can_be_repeated())
+            .cloned()
+            .collect();
+        for attempt in carried_over {
+            self.count_run(&attempt, now);
+            let checkpointed_s = self.checkpoint_after_loss(&attempt, now);
+            self.update_attempt(machine, attempt.number, |attempt| {
+                attempt.carry_over(incarnation, checkpointed_s);
+            });
         }
     }
-}
 
-impl Attempt {
-    /// Whether it is kept when its agent incarnation ends, because its start may still be
-    /// executed.
-    pub(crate) fn outlives_incarnation(&self) -> bool {
-        self.may_yet_start() && !self.is_ended()
+    fn update_attempt(&mut self, machine: &str, number: u64, update: impl FnOnce(&mut Attempt)) {
+        if let Some(worker) = self.workers.get_mut(machine)
+            && let Some(attempt) = worker.attempts.iter_mut().find(|a| a.number == number)
+        {
+            update(attempt);
+        }
+    }
+
+    /// Whether an attempt that has ended for this reason goes on occupying its task, capacity
+    /// and quota, because its start may still arrive. A task that is completed ends at once
+    /// when it is started again.
+    pub(crate) fn must_retain_after_end(&self, attempt: &Attempt, cause: EndCause) -> bool {
+        attempt.may_yet_start() && !self.completes_task(attempt, cause)
+    }
+
+    /// Retains an attempt that has ended. `position` is its index in the attempts of its worker.
+    pub(crate) fn retain_after_end(
+        &mut self,
+        now: f64,
+        machine: &str,
+        position: usize,
+        is_checkpointed: bool,
+    ) {
+        let Some(worker) = self.workers.get(machine) else {
+            return;
+        };
+        let attempt = worker.attempts[position].clone();
+        self.count_run(&attempt, now);
+        let checkpointed_s = self.checkpoint_after_end(&attempt, is_checkpointed, now);
+        self.update_attempt(machine, attempt.number, |attempt| {
+            attempt.retained_after_end = true;
+            attempt.end_durable = true;
+            attempt.checkpointed_s = checkpointed_s;
+            attempt.running_since = None;
+        });
+    }
+
+    /// Releases the retained attempts on a machine whose starts can't arrive any more, since
+    /// the message with them was answered or never sent, and requeues their tasks.
+    pub(crate) fn release_delivered_attempts(&mut self, machine: &str, now: f64) {
+        while let Some((position, cause)) = self.next_delivered_attempt(machine) {
+            let Some(worker) = self.workers.get_mut(machine) else {
+                return;
+            };
+            worker.attempts[position].retained_after_end = false;
+            let attempt = worker.attempts[position].clone();
+            self.release_attempt(machine, &attempt, now);
+            self.handle_task_end(now, machine, position, &attempt, cause, false);
+        }
+    }
+
+    fn next_delivered_attempt(&self, machine: &str) -> Option<(usize, EndCause)> {
+        let attempts = &self.workers.get(machine)?.attempts;
+        let is_delivered = |a: &Attempt| a.retained_after_end && !a.may_yet_start();
+        let position = attempts.iter().position(is_delivered)?;
+        match attempts[position].phase {
+            AttemptPhase::Ended(cause) => Some((position, cause)),
+            _ => None,
+        }
     }
+}
 
+impl Attempt {
     /// Whether a direct message with its start was given up and may still arrive.
     pub(crate) fn is_start_indeterminate(&self) -> bool {
         self.start_indeterminate_since.is_some()
     }
-}
 
-impl Worker {
-    /// Whether its agent has restarted while a start may still arrive: nothing tells whether
-    /// the restarted agent executes it. Only the end of the machine does.
-    pub(crate) fn has_restarted_before_late_start(&self) -> bool {
-        self.agent_restarted && self.attempts.iter().any(Attempt::outlives_incarnation)
+    /// Whether it may be started again on its machine.
+    fn can_be_repeated(&self) -> bool {
+        !self.is_ended() && !self.is_cancelled()
     }
 
-    /// Whether a start of a cancelled attempt was given up and may still arrive.
-    pub(crate) fn has_undelivered_cancelled_start(&self) -> bool {
+    /// Moves it to a later incarnation of its agent, in which it is started again unless its
+    /// earlier start arrives first. Any decision to stop it is dropped.
+    fn carry_over(&mut self, incarnation: u64, checkpointed_s: f64) {
+        self.incarnation = incarnation;
+        self.phase = AttemptPhase::Recorded;
+        self.running_since = None;
+        self.checkpointed_s = checkpointed_s;
+        self.stop = None;
+        self.awaiting_acknowledgement = false;
+    }
+}
+
+impl Worker {
+    /// Whether a task waits until a start that was given up can't be executed any more, which
+    /// only the end of the machine makes certain: its attempt has ended, or the agent has
+    /// restarted and may have executed the start.
+    pub(crate) fn must_end_before_late_start(&self) -> bool {
         self.attempts.iter().any(|attempt| {
-            attempt.is_cancelled() && attempt.is_start_indeterminate() && !attempt.is_ended()
+            attempt.is_start_indeterminate()
+                && attempt.occupies_capacity()
+                && (self.agent_restarted || attempt.is_ended() && !attempt.is_cancelled())
         })
     }
 
-    /// Whether an attempt occupies capacity on the machine only because its start may still
-    /// arrive there: the agent does not run it, and is not told to.
-    pub(crate) fn only_awaits_late_start(&self, attempt: &Attempt) -> bool {
-        let is_past_incarnation = attempt.incarnation < self.incarnation
-            || attempt.incarnation <= self.last_dead_incarnation;
-        let is_unseen = attempt.phase == AttemptPhase::Recorded && attempt.stop.is_some();
-        attempt.is_start_indeterminate() && (is_past_incarnation || is_unseen)
+    /// Whether a start of a cancelled attempt was given up and may still arrive.
+    pub(crate) fn has_undelivered_cancelled_start(&self) -> bool {
+        let mut attempts = self.attempts.iter();
+        attempts.any(|attempt| attempt.is_cancelled() && attempt.is_start_indeterminate())
     }
 
-    /// Whether some attempt occupies capacity that is not only kept for a late start.
+    /// Whether some attempt occupies capacity on the machine for another reason than that its
+    /// start may still arrive.
     pub(crate) fn has_live_attempts(&self) -> bool {
         self.attempts
             .iter()
             .any(|attempt| attempt.occupies_capacity() && !self.only_awaits_late_start(attempt))
     }
+
+    /// Whether the agent does not run the attempt and is not told to, so that nothing but its
+    /// late start is left of it.
+    fn only_awaits_late_start(&self, attempt: &Attempt) -> bool {
+        let is_past_incarnation = attempt.incarnation < self.incarnation
+            || attempt.incarnation <= self.last_dead_incarnation;
+        let is_unseen = attempt.phase == AttemptPhase::Recorded && attempt.stop.is_some();
+        attempt.is_start_indeterminate() && (is_past_incarnation || is_unseen || attempt.is_ended())
+    }
 }
--- a/crates/tallygauge-scheduler/src/worker_leases.rs
+++ b/crates/tallygauge-scheduler/src/worker_leases.rs
@@ -58,7 +58,7 @@
             if let Some(worker) = self.workers.get_mut(&machine) {
                 worker.last_dead_incarnation = worker.last_dead_incarnation.max(last_incarnation);
             }
-            self.end_attempts(&machine, now, |attempt| !attempt.outlives_incarnation());
+            self.end_dead_attempts(&machine, now, |_| true);
         }
     }
 }
