Scheduler: a new leader keeps attempts on machines that have not heard of it

What callers would see: a task on two machines after a change of the leader. The start that the earlier leader sent directly is held; the next leader doesn't hear the machine, takes the attempt as over when the lease must have expired, and starts the task elsewhere; the agent restarts, has heard of no leader, and executes the held start.

The next leader doesn't know which of the recorded starts went out directly.

Change: attempts of earlier leaders stay on a machine until its agent has shown this leader's token, after which it refuses their starts, or until the machine no longer exists; a silent one is returned after four leases as before. When an agent that runs such attempts restarts, it has forgotten the token: the machine is returned at once.

--- a/crates/tallygauge-scheduler/src/tests/machines.rs
+++ b/crates/tallygauge-scheduler/src/tests/machines.rs
@@ -25,7 +25,20 @@
         ),
         (1, None)
     );
+    // Its start may still arrive at an agent that has restarted and knows no leader. So it holds
+    // its quota until the machine has shown this leader's token, or is gone.
     c.advance_time(lease_expiry + 0.1);
+    assert_eq!(
+        (
+            c.workers["sa"].attempts.len(),
+            c.workers["sa"].return_decisions.first()
+        ),
+        (1, None)
+    );
+    assert_eq!(c.quota_usage[0].cpus, 1.5);
+    let heartbeat = heartbeat_from("sa", 2, 9, TERM, vec![]);
+    c.apply_heartbeat(lease_expiry + 1.0, &heartbeat, HeartbeatSource::Periodic);
+    c.advance_time(lease_expiry + 1.0);
     assert_eq!(
         (
             c.workers["sa"].attempts.len(),
@@ -33,6 +46,7 @@
         ),
         (0, None)
     );
+    assert_eq!(c.quota_usage[0].cpus, 0.0);
     // A machine is returned if its heartbeats show that a cancelled attempt still runs.
     let mut c = cluster(&[], 100.0);
     c.restore_placements("2-7", &earlier_leader_batch(), 100.0, 0.0);
--- a/crates/tallygauge-scheduler/src/tests/undelivered_starts.rs
+++ b/crates/tallygauge-scheduler/src/tests/undelivered_starts.rs
@@ -338,3 +338,45 @@
     round(&mut c, GIVEN_UP_AT + 1.0);
     assert!(c.workers["sa"].attempts[0].stop.is_none());
 }
+
+/// The state of a new leader that has restored the attempt 77 of `req-1/0` on `sa`. The machine
+/// `sb` has sent a heartbeat.
+fn cluster_of_next_leader() -> ClusterState {
+    let mut c = cluster(&["sb"], 100.0);
+    c.add_job(spec(1, 1, 1.5), 1, 90.0, &RangeSet::default());
+    c.restore_placements("2-7", &earlier_leader_batch(), 100.0, 0.0);
+    c
+}
+
+#[test]
+fn machine_that_the_next_leader_never_hears_is_returned_with_its_attempts() {
+    // Guards against a task that waits for ever for a machine that hangs for good.
+    let mut c = cluster_of_next_leader();
+    c.workers.get_mut("sa").unwrap().booted_at = Some(100.0);
+    c.advance_time(100.0 + c.config.lease_s * 3.9);
+    assert!(!c.workers["sa"].is_being_returned());
+    c.advance_time(100.0 + c.config.lease_s * 4.1);
+    let returnable = c.machines_to_return(MUCH_LATER);
+    assert_eq!(returnable[0].reason, ReturnReason::Silent);
+    assert!(round(&mut c, MUCH_LATER).is_empty());
+}
+
+#[test]
+fn start_of_an_earlier_leader_may_arrive_when_the_agent_has_restarted() {
+    // Guards against a task on two machines: the restarted agent has heard of no leader, and
+    // executes what an earlier one sent.
+    let mut c = cluster_of_next_leader();
+    let running = task("req-1/0", 77, TaskState::Running, None);
+    let heartbeat = heartbeat_from("sa", 1, 9, TERM, vec![running]);
+    c.apply_heartbeat(101.0, &heartbeat, HeartbeatSource::Periodic);
+    let without_token = heartbeat_from("sa", 1, 10, 0, vec![]);
+    c.apply_heartbeat(102.0, &without_token, HeartbeatSource::Periodic);
+    c.advance_time(102.0);
+    let returnable = c.machines_to_return(102.0);
+    assert_eq!(returnable[0].reason, ReturnReason::UndeliveredStart);
+    c.advance_time(MUCH_LATER);
+    send_heartbeat(&mut c, "sb", (1, 2), MUCH_LATER);
+    assert!(round(&mut c, MUCH_LATER).is_empty());
+    c.deregister_machine("sa", MUCH_LATER);
+    assert_eq!(round(&mut c, MUCH_LATER).len(), 1);
+}
--- a/crates/tallygauge-scheduler/src/undelivered_starts.rs
+++ b/crates/tallygauge-scheduler/src/undelivered_starts.rs
@@ -43,7 +43,7 @@
         };
         let attempts = worker.attempts.iter();
         let over: BTreeSet<u64> = attempts
-            .filter(|attempt| is_dead(attempt) && !self.outlives_incarnation(attempt))
+            .filter(|attempt| is_dead(attempt) && !self.outlives_incarnation(worker, attempt))
             .map(|attempt| attempt.number)
             .collect();
         self.end_attempts(machine, now, |attempt| over.contains(&attempt.number));
@@ -51,11 +51,11 @@
 
     /// Whether an attempt is kept when its agent incarnation ends: its start may still arrive,
     /// and the task of a job that is open or was cancelled would run once more.
-    fn outlives_incarnation(&self, attempt: &Attempt) -> bool {
+    fn outlives_incarnation(&self, worker: &Worker, attempt: &Attempt) -> bool {
         let is_settled = attempt.is_ended()
             && !attempt.is_cancelled()
             && !self.jobs.contains_key(&attempt.spec.id);
-        attempt.may_yet_start() && !is_settled
+        worker.start_may_arrive(attempt) && !is_settled
     }
 
     /// Starts the attempts of earlier incarnations again in this one.
@@ -164,12 +164,30 @@
 }
 
 impl Worker {
+    /// Whether the start of an attempt may still be executed by the agent, although it was
+    /// sent at some time before.
+    pub(crate) fn start_may_arrive(&self, attempt: &Attempt) -> bool {
+        attempt.may_yet_start() || self.awaits_fencing(attempt)
+    }
+
+    /// Whether the start of an attempt may still be executed by the agent, although its
+    /// sender has given the message up or has ended.
+    pub(crate) fn is_start_indeterminate(&self, attempt: &Attempt) -> bool {
+        attempt.is_start_indeterminate() || self.awaits_fencing(attempt)
+    }
+
+    /// Whether the agent may execute the start of an attempt that an earlier leader placed:
+    /// until it has shown this leader's fencing token, and again when it has restarted.
+    pub(crate) fn awaits_fencing(&self, attempt: &Attempt) -> bool {
+        attempt.restored && (self.fencing_token_seen_at.is_none() || self.agent_restarted)
+    }
+
     /// Whether a task waits until a start that was given up can't be executed any more, which
     /// only the end of the machine makes certain: its attempt has ended, or the agent has
     /// restarted and may have executed the start.
     pub(crate) fn must_end_before_late_start(&self) -> bool {
         self.attempts.iter().any(|attempt| {
-            attempt.is_start_indeterminate()
+            self.is_start_indeterminate(attempt)
                 && attempt.occupies_capacity()
                 && (self.agent_restarted || attempt.is_ended() && !attempt.is_cancelled())
         })
@@ -195,6 +213,8 @@
         let is_past_incarnation = attempt.incarnation < self.incarnation
             || attempt.incarnation <= self.last_dead_incarnation;
         let is_unseen = attempt.phase == AttemptPhase::Recorded && attempt.stop.is_some();
-        attempt.is_start_indeterminate() && (is_past_incarnation || is_unseen || attempt.is_ended())
+        self.awaits_fencing(attempt)
+            || attempt.is_start_indeterminate()
+                && (is_past_incarnation || is_unseen || attempt.is_ended())
     }
 }
--- a/crates/tallygauge-scheduler/src/worker_leases.rs
+++ b/crates/tallygauge-scheduler/src/worker_leases.rs
@@ -46,7 +46,11 @@
         let expired: Vec<String> = self
             .workers
             .values()
-            .filter(|worker| !worker.attempts.is_empty() && now > self.lease_expiry(worker))
+            .filter(|worker| {
+                let mut attempts = worker.attempts.iter();
+                let may_run_any = attempts.any(|attempt| !worker.awaits_fencing(attempt));
+                may_run_any && now > self.lease_expiry(worker)
+            })
             .map(|worker| worker.name.clone())
             .collect();
         for machine in expired {
--- a/crates/tallygauge-sim/tests/undelivered_starts.rs
+++ b/crates/tallygauge-sim/tests/undelivered_starts.rs
@@ -132,3 +132,20 @@
     held.assert_done().await;
     assert!(!held.simulation.booted_machines().contains(&held.machine));
 }
+
+// Guards against a task on two machines: the leader that sent the start ended, and the next one
+// took the lease of a machine that it never heard as the end of what was started there.
+#[tokio::test(start_paused = true)]
+async fn held_start_of_an_earlier_leader_does_not_run_on_a_restarted_agent_while_its_task_runs() {
+    let held = HeldStart::new(LEASE_S * 2.4).await;
+    held.controller.leadership.step_down("test");
+    sleep_s(HOLD_S - RESTART_BEFORE_ARRIVAL_S).await;
+    held.assert_not_started_elsewhere();
+    held.restart_agent();
+    sleep_s(RESTART_BEFORE_ARRIVAL_S + HEARTBEAT_INTERVAL_S).await;
+    held.simulation.assert_invariants();
+    held.set_heartbeats_blocked(false);
+    held.simulation
+        .set_faults(|faults| faults.cloud_down = false);
+    held.assert_done().await;
+}
