Record direct starts that were given up, so that the next leader keeps them

A direct start was held and given up; its tasks ran by a heartbeat response, were cancelled and stopped; the leader changed; the agent restarted, and the held start of the first leader was executed before the agent had heard of the next.

Cause: the next leader can't tell an attempt whose direct start was given up from any other on record, and takes it as over when a heartbeat with its own token shows that it ended or lacks it. The token refuses older starts only until the agent restarts.

Change: the numbers of such attempts are stored under u/TERM-N, a quarter of a heartbeat interval later, all that were given up in that time in one write. A record is written once, conditioned on the term, under a name that is never used again, so that a late copy of the write does no harm; it is removed when none of its attempts is left. The next leader keeps the attempts as if it had sent them: it repeats their starts on their machine, retains their ends, and returns the machine if the job is cancelled. A recorded start is not repeated if its task has another attempt on record, since a leader of an earlier version does not read these records.

The golden file of stored records gets a line for the new record; the others are as they were.

Not covered: a leader that ends within a quarter of a heartbeat interval and a write after it gave the message up, if the next one hears the machine before the agent restarts.

--- a/crates/tallygauge-scheduler/src/attempt_accounting.rs
+++ b/crates/tallygauge-scheduler/src/attempt_accounting.rs
@@ -110,6 +110,7 @@
         };
         let removed: Vec<Attempt> = worker.attempts.extract_if(.., is_selected).collect();
         for attempt in &removed {
+            self.undelivered_start_records.remove(attempt.number);
             if let Some(job) = self.jobs.get_mut(&attempt.spec.id) {
                 decrement(&mut job.attempts_by_worker, machine);
             }
--- a/crates/tallygauge-scheduler/src/cluster_state.rs
+++ b/crates/tallygauge-scheduler/src/cluster_state.rs
@@ -12,6 +12,7 @@
     reconciliation::state::ReconciliationCursor,
     runtime_estimates::RuntimeRatio,
     start_deadline::state::StartDeadlines,
+    undelivered_start_records::UndeliveredStartRecords,
 };
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -102,6 +103,8 @@
     pub(crate) needs_direct_message: BTreeSet<String>,
     /// Direct messages that have not been answered.
     pub(crate) in_flight_messages: InFlightMessages,
+    /// Durable records of starts in direct messages that were given up.
+    pub(crate) undelivered_start_records: UndeliveredStartRecords,
 
     // Demand for machines.
     /// Backoff for rentals after the cloud had no capacity, by kind of machine.
@@ -151,6 +154,7 @@
             jobs_with_unsaved_progress: BTreeSet::new(),
             needs_direct_message: BTreeSet::new(),
             in_flight_messages: InFlightMessages::default(),
+            undelivered_start_records: UndeliveredStartRecords::default(),
             capacity_backoff: HashMap::new(),
             demand_history: Vec::new(),
             needs_scheduling: true,
--- a/crates/tallygauge-scheduler/src/commands.rs
+++ b/crates/tallygauge-scheduler/src/commands.rs
@@ -76,7 +76,7 @@
     fn command(&self, now: f64) -> Option<Command> {
         let attempt = self.number;
         match (self.phase, self.stop) {
-            (AttemptPhase::Recorded, None) if !self.restored => Some(Command::Start {
+            (AttemptPhase::Recorded, None) if self.may_be_started() => Some(Command::Start {
                 task: self.task_name(),
                 attempt,
             }),
--- a/crates/tallygauge-scheduler/src/direct_messages.rs
+++ b/crates/tallygauge-scheduler/src/direct_messages.rs
@@ -176,6 +176,7 @@
                     attempt.start_messages_in_flight.saturating_sub(1);
                 if !answered && !never_sent && !attempt.is_direct_start_delivered() {
                     attempt.start_indeterminate_since = Some(now);
+                    self.undelivered_start_records.add(attempt.number);
                 }
             }
         }
--- a/crates/tallygauge-scheduler/src/lib.rs
+++ b/crates/tallygauge-scheduler/src/lib.rs
@@ -37,6 +37,7 @@
 mod task_status;
 #[cfg(test)]
 mod tests;
+mod undelivered_start_records;
 mod undelivered_starts;
 mod worker_leases;
 
@@ -62,3 +63,4 @@
 pub use tallygauge_health::{Reachability, SequenceMark};
 pub use tallygauge_locality::{ImageLocations, ReplicaSpread};
 pub use tallygauge_priority::{DeclaredRules, MAX_RANK, PriorityRules, RankRule, RulesChange};
+pub use undelivered_start_records::UndeliveredStarts;
--- a/crates/tallygauge-scheduler/src/model/records.rs
+++ b/crates/tallygauge-scheduler/src/model/records.rs
@@ -62,6 +62,14 @@
     pub tasks: Vec<PlacedTaskRecord>,
 }
 
+/// Attempts of placement batches whose start a leader sent in a direct message that it gave up.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct UndeliveredStartsRecord {
+    /// Numbers of the attempts.
+    #[serde(rename = "a")]
+    pub attempts: Vec<u64>,
+}
+
 /// An attempt in a batch. Serialized as an array of its fields, in this order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "(usize, u32, u64, u32)", into = "(usize, u32, u64, u32)")]
--- a/crates/tallygauge-scheduler/src/undelivered_starts.rs
+++ b/crates/tallygauge-scheduler/src/undelivered_starts.rs
@@ -146,6 +146,12 @@
         self.start_indeterminate_since.is_some()
     }
 
+    /// Whether this leader may send its start: it placed the attempt, or the start may arrive
+    /// all the same.
+    pub(crate) fn may_be_started(&self) -> bool {
+        !self.restored || self.is_start_indeterminate()
+    }
+
     /// Whether it may be started again on its machine.
     fn can_be_repeated(&self) -> bool {
         !self.is_ended() && !self.is_cancelled()
@@ -189,7 +195,9 @@
         self.attempts.iter().any(|attempt| {
             self.is_start_indeterminate(attempt)
                 && attempt.occupies_capacity()
-                && (self.agent_restarted || attempt.is_ended() && !attempt.is_cancelled())
+                && (self.agent_restarted
+                    || self.has_restarted_since(attempt)
+                    || attempt.is_ended() && !attempt.is_cancelled())
         })
     }
 
@@ -213,8 +221,14 @@
         let is_past_incarnation = attempt.incarnation < self.incarnation
             || attempt.incarnation <= self.last_dead_incarnation;
         let is_unseen = attempt.phase == AttemptPhase::Recorded && attempt.stop.is_some();
+        let is_gone = is_past_incarnation || self.has_restarted_since(attempt) || is_unseen;
         self.awaits_fencing(attempt)
-            || attempt.is_start_indeterminate()
-                && (is_past_incarnation || is_unseen || attempt.is_ended())
+            || attempt.is_start_indeterminate() && (is_gone || attempt.is_ended())
+    }
+
+    /// Whether its agent has restarted since the attempt was placed, and has not come as far as
+    /// the incarnation that the attempt was placed on.
+    fn has_restarted_since(&self, attempt: &Attempt) -> bool {
+        self.has_reported() && self.incarnation < attempt.incarnation
     }
 }
--- a/crates/tallygauge-sim/tests/drawn_scenarios.rs
+++ b/crates/tallygauge-sim/tests/drawn_scenarios.rs
@@ -39,6 +39,17 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
+// Guards against late starts of earlier leaders: in these scenarios a start that the leader gave
+// up was carried out after the leader had changed and the agent had restarted, and a team
+// exceeded its quota.
+#[tokio::test(start_paused = true)]
+async fn scenarios_with_late_starts_after_a_failover_break_no_invariant() {
+    for seed in [2167, 3298] {
+        let violations = run_scenario(seed, InjectedViolation::None).await;
+        assert!(violations.is_empty(), "{seed}: {violations:#?}");
+    }
+}
+
 // A checker that detects nothing would let every scenario pass, so each one has to report a
 // violation that is injected for it.
 #[tokio::test(start_paused = true)]
--- a/crates/tallygauge/src/cleanup.rs
+++ b/crates/tallygauge/src/cleanup.rs
@@ -5,7 +5,7 @@
     leader_transaction::{max_writes, new_transaction},
     pacing::heartbeat_intervals,
     progress::add_page_writes,
-    store_keys::placement_batch_key,
+    store_keys::{placement_batch_key, undelivered_starts_key},
 };
 use std::sync::Arc;
 use tallygauge_protocol::state::{Condition, Transaction, Write};
@@ -18,19 +18,21 @@
 /// Records that are no longer referenced, at most as many as one transaction may remove.
 struct ObsoleteRecords {
     batches: Vec<Arc<str>>,
+    undelivered_starts: Vec<Arc<str>>,
     pages: Vec<PageWrite>,
 }
 
 impl ObsoleteRecords {
     fn is_empty(&self) -> bool {
-        self.batches.is_empty() && self.pages.is_empty()
+        self.batches.is_empty() && self.undelivered_starts.is_empty() && self.pages.is_empty()
     }
 }
 
 /// Removes obsolete records for as long as this controller leads. Never returns.
 ///
 /// A removal whose response is lost is repeated later. This is safe: removing a placement
-/// batch twice has no effect, and the removal of a page is conditioned on its version.
+/// batch or a record of undelivered starts twice has no effect, and the removal of a page is
+/// conditioned on its version.
 pub async fn run(controller: &Controller, term_condition: &Condition) {
     let pause = heartbeat_intervals(controller, CLEANUP_HEARTBEAT_INTERVALS);
     loop {
@@ -39,7 +41,8 @@
     }
 }
 
-/// Removes placement batches whose attempts have ended, and empty completion pages.
+/// Removes placement batches whose attempts have ended, records of undelivered starts of which
+/// none is left, and empty completion pages.
 async fn remove_obsolete_records(controller: &Controller, term_condition: &Condition) {
     let Some(obsolete) = find_obsolete_records(controller) else {
         return;
@@ -66,10 +69,15 @@
             .take(max_records)
             .cloned()
             .collect();
+        let undelivered_starts = cluster.obsolete_undelivered_starts(max_records - batches.len());
         let pages = cluster
             .completion_pages
-            .empty_page_removals(max_records - batches.len());
-        ObsoleteRecords { batches, pages }
+            .empty_page_removals(max_records - batches.len() - undelivered_starts.len());
+        ObsoleteRecords {
+            batches,
+            undelivered_starts,
+            pages,
+        }
     })
 }
 
@@ -79,6 +87,10 @@
         let key = placement_batch_key(name);
         transaction.writes.push(Write::Remove { key });
     }
+    for name in &obsolete.undelivered_starts {
+        let key = undelivered_starts_key(name);
+        transaction.writes.push(Write::Remove { key });
+    }
     add_page_writes(&mut transaction, &obsolete.pages);
     transaction
 }
@@ -93,6 +105,9 @@
             for name in &obsolete.batches {
                 cluster.obsolete_batches.remove(name);
             }
+            for name in &obsolete.undelivered_starts {
+                cluster.record_undelivered_starts_removed(name);
+            }
             for page in &obsolete.pages {
                 cluster.completion_pages.mark_written(page, revision);
             }
--- a/crates/tallygauge/src/leader/recovery.rs
+++ b/crates/tallygauge/src/leader/recovery.rs
@@ -7,13 +7,17 @@
     leader_records::{self, StoredRecords},
     scheduler_config::scheduler_config,
     scheduling_loop,
-    store_keys::{ACTIVE_JOB_PREFIX, COMPLETION_PAGE_PREFIX, PLACEMENT_BATCH_PREFIX},
+    store_keys::{
+        ACTIVE_JOB_PREFIX, COMPLETION_PAGE_PREFIX, PLACEMENT_BATCH_PREFIX,
+        UNDELIVERED_STARTS_PREFIX,
+    },
     user_api::{self, ActiveJobRecord},
 };
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use tallygauge_protocol::state::KeyValue;
 use tallygauge_scheduler::{
     ClusterState, CompletionPageRecord, ImageLocations, PlacementBatchRecord, RangeSet,
+    UndeliveredStartsRecord,
 };
 use tallygauge_store::RequestPriority;
 
@@ -30,6 +34,7 @@
     active_jobs: Vec<KeyValue>,
     completion_pages: Vec<KeyValue>,
     placement_batches: Vec<KeyValue>,
+    undelivered_starts: Vec<KeyValue>,
     records: StoredRecords,
     /// Revision of the store at which the active jobs were listed. They are listed before
     /// the other records, and the watch starts from this revision, so that no change is
@@ -69,6 +74,7 @@
     let completed = restore_completion_pages(&mut cluster, durable.completion_pages)?;
     restore_active_jobs(&mut cluster, durable.active_jobs, &completed, time)?;
     restore_placements(&mut cluster, durable.placement_batches, time).await?;
+    restore_undelivered_starts(&mut cluster, durable.undelivered_starts, time)?;
     install_cluster_state(controller, term, cluster, durable.revision);
     Ok(RecoveredTerm {
         revision: durable.revision,
@@ -86,8 +92,9 @@
         .map(|row| (row.key.as_str(), row.version));
     user_api::cache_active_jobs(controller, versions);
     let completion_pages = store.list(priority, COMPLETION_PAGE_PREFIX).await?;
-    let (placement_batches, records) = tokio::join!(
+    let (placement_batches, undelivered_starts, records) = tokio::join!(
         store.list(priority, PLACEMENT_BATCH_PREFIX),
+        store.list(priority, UNDELIVERED_STARTS_PREFIX),
         leader_records::load(controller)
     );
     Ok(DurableState {
@@ -95,6 +102,7 @@
         active_jobs: active_jobs.entries,
         completion_pages: completion_pages.entries,
         placement_batches: placement_batches?.entries,
+        undelivered_starts: undelivered_starts?.entries,
         records,
     })
 }
@@ -200,6 +208,23 @@
     Ok(())
 }
 
+fn restore_undelivered_starts(
+    cluster: &mut ClusterState,
+    rows: Vec<KeyValue>,
+    time: RecoveryTime,
+) -> Result<(), ReadError> {
+    let mut stored = BTreeMap::new();
+    for row in rows {
+        let key = row.key.clone();
+        let record: UndeliveredStartsRecord = decode_value(row)?;
+        if let Some(name) = key.strip_prefix(UNDELIVERED_STARTS_PREFIX) {
+            stored.insert(name.into(), record);
+        }
+    }
+    cluster.restore_undelivered_starts(stored, time.now);
+    Ok(())
+}
+
 /// Installs the recovered cluster state in the term, unless the term has ended in the
 /// meantime.
 fn install_cluster_state(
--- a/crates/tallygauge/src/store_keys.rs
+++ b/crates/tallygauge/src/store_keys.rs
@@ -13,6 +13,9 @@
 /// Prefix of the placement batches.
 pub const PLACEMENT_BATCH_PREFIX: &str = "p/";
 
+/// Prefix of the records of starts in direct messages that were given up.
+pub const UNDELIVERED_STARTS_PREFIX: &str = "u/";
+
 /// Prefix of the records of terminal jobs.
 const TERMINAL_JOB_PREFIX: &str = "j/";
 
@@ -45,3 +48,9 @@
 pub fn placement_batch_key(name: &str) -> String {
     format!("{PLACEMENT_BATCH_PREFIX}{name}")
 }
+
+/// Key of a record of undelivered starts.
+#[must_use]
+pub fn undelivered_starts_key(name: &str) -> String {
+    format!("{UNDELIVERED_STARTS_PREFIX}{name}")
+}
--- a/crates/tallygauge/tests/golden.rs
+++ b/crates/tallygauge/tests/golden.rs
@@ -16,13 +16,16 @@
         LocalitySettings, MinimumShareSettings, OperatorSettings, UtilitySettings,
     },
     settings::Settings,
-    store_keys::{active_job_key, completion_page_key, placement_batch_key, terminal_job_key},
+    store_keys::{
+        active_job_key, completion_page_key, placement_batch_key, terminal_job_key,
+        undelivered_starts_key,
+    },
     user_api::{ActiveJobRecord, TerminalJobRecord},
 };
 use tallygauge_records::{Record, StoredRecord, decode, encode, record_name};
 use tallygauge_scheduler::{
     CompletionPageRecord, DeadlineTracker, ImageLocations, PlacementBatchRecord, PriorityRules,
-    ServiceCountsRecord,
+    ServiceCountsRecord, UndeliveredStartsRecord,
 };
 
 /// Deserializes a value as a record of a certain type and serializes it again.
@@ -72,6 +75,10 @@
             placement_batch_key("2-2"),
             round_trip_value::<PlacementBatchRecord>,
         ),
+        (
+            undelivered_starts_key("2-1"),
+            round_trip_value::<UndeliveredStartsRecord>,
+        ),
         (
             record_key::<ServiceCountsRecord>(None),
             round_trip_record::<ServiceCountsRecord>,
