--- a/crates/tallygauge-scheduler/src/direct_messages.rs
+++ b/crates/tallygauge-scheduler/src/direct_messages.rs
@@ -222,12 +222,15 @@
     /// Whether a start command was not sent yet and may be sent directly, or a stop was decided
     /// since the last heartbeat.
     fn has_unsent_command(&self, config: &Config) -> bool {
-        let may_start = self.direct_start_headroom(config) > 0;
-        self.attempts
+        let mut attempts = self
+            .attempts
             .iter()
-            .filter(|attempt| attempt.incarnation == self.incarnation)
-            .any(|attempt| match (attempt.phase, attempt.stop) {
-                (AttemptPhase::Recorded, None) => may_start && !attempt.start_sent,
+            .filter(|attempt| attempt.incarnation == self.incarnation);
+        let has_unsent_start = attempts.clone().any(|attempt| {
+            attempt.phase == AttemptPhase::Recorded && attempt.stop.is_none() && !attempt.start_sent
+        });
+        (has_unsent_start && self.direct_start_headroom(config) > 0)
+            || attempts.any(|attempt| match (attempt.phase, attempt.stop) {
                 (
                     AttemptPhase::Recorded
                     | AttemptPhase::Observed(TaskState::Fetching | TaskState::Running),
--- a/crates/tallygauge-scheduler/src/model/room.rs
+++ b/crates/tallygauge-scheduler/src/model/room.rs
@@ -49,21 +49,22 @@
 impl Worker {
     /// The room on the machine now.
     pub(crate) fn room(&self, config: &Config) -> Room {
-        let limit = config.max_attempts_per_worker;
-        Room {
-            resources: self.free_resources,
-            attempts: saturating_u32(limit.saturating_sub(self.reportable_attempts().count())),
-        }
+        self.room_beside(self.reportable_attempts().count(), config)
     }
 
     /// The room on the machine once its ended attempts are cleared, as far as they can be.
     pub(crate) fn room_after_clears(&self, config: &Config) -> Room {
         let attempts = self.reportable_attempts();
-        let reported = attempts.filter(|a| a.occupies_capacity() || a.may_yet_start());
-        let limit = config.max_attempts_per_worker;
+        let remaining = attempts.filter(|a| a.occupies_capacity() || a.may_yet_start());
+        self.room_beside(remaining.count(), config)
+    }
+
+    /// The room on the machine if its worker reports this number of attempts.
+    fn room_beside(&self, reported: usize, config: &Config) -> Room {
+        let further = config.max_attempts_per_worker.saturating_sub(reported);
         Room {
             resources: self.free_resources,
-            attempts: saturating_u32(limit.saturating_sub(reported.count())),
+            attempts: saturating_u32(further),
         }
     }
 
--- a/crates/tallygauge-scheduler/src/tests/avoided_machines.rs
+++ b/crates/tallygauge-scheduler/src/tests/avoided_machines.rs
@@ -132,7 +132,7 @@
     report(&mut c, EndCause::Error, backoff_end);
     round(&mut c, backoff_end);
     assert_eq!(stopped(&c), 0);
-    // Another task of the job may use the room, and so may the failed one later.
+    // Once the failed task no longer avoids the machine, it may use the room.
     report(&mut c, EndCause::Error, avoidance_end);
     round(&mut c, avoidance_end);
     assert_eq!(stopped(&c), 1);
--- a/crates/tallygauge-scheduler/src/tests/undelivered_starts.rs
+++ b/crates/tallygauge-scheduler/src/tests/undelivered_starts.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// When the direct message was given up.
-const GIVEN_UP_AT: f64 = 103.0;
+const GIVEN_UP_AT: f64 = CANCELLED_AT;
 
 /// A time many leases after the message was given up.
 const MUCH_LATER: f64 = GIVEN_UP_AT + 1000.0;
@@ -11,11 +11,7 @@
 /// A cluster with the machines `sa`, which gets the task `req-1/0`, and `sb`. The direct message
 /// with the start was given up.
 fn cluster_with_late_start() -> ClusterState {
-    let mut c = cluster(&["sa"], 100.0);
-    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
-    assert_eq!(round(&mut c, 100.0).len(), 1);
-    let message = c.take_direct_messages(100.0, 1.0).remove(0);
-    c.record_direct_message_result(&message, false, false, GIVEN_UP_AT);
+    let mut c = cluster_with_failed_start_message(false);
     send_heartbeat(&mut c, "sb", (1, 1), MUCH_LATER - 1.0);
     c
 }
@@ -86,8 +82,7 @@
             .all(|message| message.started_attempts.is_empty()),
         "a start goes out in one direct message at most"
     );
-    let commands = c.commands("sa", MUCH_LATER);
-    c.record_heartbeat_response("sa", &commands, MUCH_LATER);
+    respond_to_heartbeat(&mut c, MUCH_LATER);
     let running = task("req-1/0", attempt, TaskState::Running, None);
     let heartbeat = heartbeat_from("sa", 2, 10, TERM, vec![running]);
     c.apply_heartbeat(MUCH_LATER + 2.0, &heartbeat, HeartbeatSource::Periodic);
@@ -148,24 +143,25 @@
 #[test]
 fn no_further_start_is_sent_directly_while_one_that_was_given_up_is_unseen() {
     // Guards against binding many tasks to a machine in a partitioned zone.
+    let given_up_at = 103.0;
     let mut c = cluster(&["la"], 100.0);
     c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
     round(&mut c, 100.0);
     let message = c.take_direct_messages(100.0, 1.0).remove(0);
-    c.record_direct_message_result(&message, false, false, GIVEN_UP_AT);
+    c.record_direct_message_result(&message, false, false, given_up_at);
     c.add_job(spec(2, 1, 1.0), 1, 90.0, &RangeSet::default());
-    send_heartbeat(&mut c, "la", (1, 2), GIVEN_UP_AT);
-    assert_eq!(round(&mut c, GIVEN_UP_AT).len(), 1);
+    send_heartbeat(&mut c, "la", (1, 2), given_up_at);
+    assert_eq!(round(&mut c, given_up_at).len(), 1);
     let sent = |c: &mut ClusterState, now| -> usize {
         let messages = c.take_direct_messages(now, 1.0);
         messages.iter().map(|m| m.started_attempts.len()).sum()
     };
-    assert_eq!(sent(&mut c, GIVEN_UP_AT + 10.0), 0);
-    assert_eq!(start_commands(&c, "la", GIVEN_UP_AT + 10.0).len(), 2);
-    report_all_running(&mut c, "la", 3, GIVEN_UP_AT + 12.0);
+    assert_eq!(sent(&mut c, given_up_at + 10.0), 0);
+    assert_eq!(start_commands(&c, "la", given_up_at + 10.0).len(), 2);
+    report_all_running(&mut c, "la", 3, given_up_at + 12.0);
     c.add_job(spec(3, 1, 1.0), 1, 90.0, &RangeSet::default());
-    round(&mut c, GIVEN_UP_AT + 12.0);
-    assert_eq!(sent(&mut c, GIVEN_UP_AT + 12.0), 1);
+    round(&mut c, given_up_at + 12.0);
+    assert_eq!(sent(&mut c, given_up_at + 12.0), 1);
 }
 
 #[test]
@@ -195,26 +191,26 @@
 fn start_is_undelivered_if_the_worker_may_have_the_attempt_from_a_heartbeat_response() {
     // Guards against the reverse: the direct message is still on its way.
     let mut c = cluster_with_late_start();
-    let commands = c.commands("sa", GIVEN_UP_AT);
-    c.record_heartbeat_response("sa", &commands, GIVEN_UP_AT);
+    respond_to_heartbeat(&mut c, GIVEN_UP_AT);
     report_all_running(&mut c, "sa", 2, GIVEN_UP_AT + 2.0);
     assert!(c.workers["sa"].attempts[0].may_yet_start());
 }
 
-/// A cluster as [`cluster_with_late_start`], in which a heartbeat response carried the start as
-/// well, and `sa` reports the attempt in this state. `sb` does not exist.
+/// A cluster with the machine `sa` alone, in which a heartbeat response repeated the start that
+/// was given up, and `sa` reports the attempt in this state.
 fn cluster_with_repeated_start(state: TaskState, cause: Option<EndCause>) -> ClusterState {
-    let mut c = cluster(&["sa"], 100.0);
-    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
-    round(&mut c, 100.0);
-    let message = c.take_direct_messages(100.0, 1.0).remove(0);
-    let commands = c.commands("sa", 100.0);
-    c.record_heartbeat_response("sa", &commands, 100.0);
-    c.record_direct_message_result(&message, false, false, GIVEN_UP_AT);
+    let mut c = cluster_with_failed_start_message(false);
+    respond_to_heartbeat(&mut c, GIVEN_UP_AT);
     report(&mut c, (1, 2), state, cause, GIVEN_UP_AT);
     c
 }
 
+/// Records a heartbeat response to `sa` with all commands that are due.
+fn respond_to_heartbeat(c: &mut ClusterState, now: f64) {
+    let commands = c.commands("sa", now);
+    c.record_heartbeat_response("sa", &commands, now);
+}
+
 /// Lets `sa` report its only attempt in this state.
 fn report(
     c: &mut ClusterState,
@@ -260,8 +256,7 @@
     c.add_job(spec(1, 2, 4.0), 1, 90.0, &RangeSet::default());
     round(&mut c, 100.0);
     let message = c.take_direct_messages(100.0, 1.0).remove(0);
-    let commands = c.commands("sa", 100.0);
-    c.record_heartbeat_response("sa", &commands, 100.0);
+    respond_to_heartbeat(&mut c, 100.0);
     c.record_direct_message_result(&message, false, false, GIVEN_UP_AT);
     report(
         &mut c,
--- a/crates/tallygauge-sim/tests/undelivered_starts.rs
+++ b/crates/tallygauge-sim/tests/undelivered_starts.rs
@@ -55,8 +55,13 @@
         self.simulation.set_outbound_blocked(&self.machine, blocked);
     }
 
-    fn restart_agent(&self) {
+    /// Restarts the agent, lets the held start arrive, and unblocks the heartbeats. The start
+    /// must have been held for all but [`RESTART_BEFORE_ARRIVAL_S`] of its time.
+    async fn restart_agent_before_arrival(&self) {
         self.simulation.restart_agent(&self.machine);
+        sleep_s(RESTART_BEFORE_ARRIVAL_S + HEARTBEAT_INTERVAL_S).await;
+        self.simulation.assert_invariants();
+        self.set_heartbeats_blocked(false);
     }
 
     /// Checks that the task runs on the machine to which its start is held, or nowhere.
@@ -80,10 +85,7 @@
     let held = HeldStart::new(LEASE_S * 2.4).await;
     sleep_s(HOLD_S - RESTART_BEFORE_ARRIVAL_S).await;
     held.assert_not_started_elsewhere();
-    held.restart_agent();
-    sleep_s(RESTART_BEFORE_ARRIVAL_S + HEARTBEAT_INTERVAL_S).await;
-    held.simulation.assert_invariants();
-    held.set_heartbeats_blocked(false);
+    held.restart_agent_before_arrival().await;
     held.simulation
         .set_faults(|faults| faults.cloud_down = false);
     held.assert_done().await;
@@ -103,10 +105,7 @@
     held.assert_not_started_elsewhere();
     held.set_heartbeats_blocked(true);
     sleep_s(HOLD_S - LEASE_S * 1.5 - RESTART_BEFORE_ARRIVAL_S).await;
-    held.restart_agent();
-    sleep_s(RESTART_BEFORE_ARRIVAL_S + HEARTBEAT_INTERVAL_S).await;
-    held.simulation.assert_invariants();
-    held.set_heartbeats_blocked(false);
+    held.restart_agent_before_arrival().await;
     held.assert_done().await;
 }
 
@@ -141,10 +140,7 @@
     held.controller.leadership.step_down("test");
     sleep_s(HOLD_S - RESTART_BEFORE_ARRIVAL_S).await;
     held.assert_not_started_elsewhere();
-    held.restart_agent();
-    sleep_s(RESTART_BEFORE_ARRIVAL_S + HEARTBEAT_INTERVAL_S).await;
-    held.simulation.assert_invariants();
-    held.set_heartbeats_blocked(false);
+    held.restart_agent_before_arrival().await;
     held.simulation
         .set_faults(|faults| faults.cloud_down = false);
     held.assert_done().await;
