Scheduler: an undelivered start is repeated if its agent lost the task unnoticed

What callers would see: a task that is called running and runs nowhere, for as long as that session of its machine lasts. A heartbeat that lacks an attempt does not end it while its direct start may arrive, rightly; but the attempt was only started again in a later incarnation. An agent that restarts while its heartbeats are lost may be past the sequence number of its former self when the next one arrives, in the same incarnation, so that nothing shows the restart but what it lacks.

Change: an attempt that its agent had and lacks is started there again, as in a later incarnation. Found by reading; running_task_that_its_agent_lost_unnoticed_is_started_there_again fails without the change (no start command is due).

--- a/crates/tallygauge-scheduler/src/model/attempt.rs
+++ b/crates/tallygauge-scheduler/src/model/attempt.rs
@@ -15,7 +15,7 @@
 /// | `Planned` | `Recorded` | `record_committed`: its placement batch is durable |
 /// | `Recorded`, `Observed` | `Observed` | `observe`: a heartbeat reports it as not ended |
 /// | `Recorded`, `Observed` | `Ended` | `end`: a heartbeat reports that it has ended |
-/// | `Recorded`, `Observed` | `Recorded` | `carry_over`: its agent incarnation has ended, and it is started again in the next one |
+/// | `Recorded`, `Observed` | `Recorded` | `repeat`: its agent has lost it, and is to start it again because its first start may still arrive |
 ///
 /// A `Planned` attempt is not yet visible to any worker, because its start command is
 /// sent only after its placement batch is durable. `Ended` is final. An attempt may be
--- a/crates/tallygauge-scheduler/src/task_status.rs
+++ b/crates/tallygauge-scheduler/src/task_status.rs
@@ -60,6 +60,14 @@
         for attempt in absent.iter().filter(|attempt| attempt.occupies_capacity()) {
             self.requeue_lost(machine, attempt, now);
         }
+        // An agent that lacks what it had has restarted unnoticed.
+        if is_fenced {
+            self.repeat_attempts(machine, heartbeat.incarnation, now, |attempt| {
+                attempt.incarnation == heartbeat.incarnation
+                    && matches!(attempt.phase, AttemptPhase::Observed(_))
+                    && !reported.contains_key(&attempt.number)
+            });
+        }
     }
 
     /// Applies the status of one attempt, or appends the attempt to `orphans` if it is
--- a/crates/tallygauge-scheduler/src/tests/undelivered_starts.rs
+++ b/crates/tallygauge-scheduler/src/tests/undelivered_starts.rs
@@ -489,3 +489,13 @@
     assert!(start_commands(&c, "sa", 102.0).is_empty());
     assert_eq!(c.obsolete_undelivered_starts(9).len(), 1);
 }
+
+#[test]
+fn running_task_that_its_agent_lost_unnoticed_is_started_there_again() {
+    // Guards against a task that waits for ever: the agent restarted while its heartbeats were
+    // lost, so that the next one that arrived seemed to follow those before.
+    let mut c = cluster_with_repeated_start(TaskState::Running, None);
+    send_heartbeat(&mut c, "sa", (1, 3), GIVEN_UP_AT + 2.0);
+    assert_eq!(placed_on(&c, "sa"), 1);
+    assert_eq!(start_commands(&c, "sa", GIVEN_UP_AT + 2.0).len(), 1);
+}
--- a/crates/tallygauge-scheduler/src/undelivered_starts.rs
+++ b/crates/tallygauge-scheduler/src/undelivered_starts.rs
@@ -27,7 +27,9 @@
             return;
         }
         self.end_dead_attempts(machine, now, |attempt| attempt.incarnation < incarnation);
-        self.carry_over_attempts(machine, incarnation, now);
+        self.repeat_attempts(machine, incarnation, now, |attempt| {
+            attempt.incarnation < incarnation
+        });
     }
 
     /// Ends the attempts on a machine that `is_dead` selects, whose agent incarnations have
@@ -58,22 +60,28 @@
         worker.start_may_arrive(attempt) && !is_settled
     }
 
-    /// Starts the attempts of earlier incarnations again in this one.
-    fn carry_over_attempts(&mut self, machine: &str, incarnation: u64, now: f64) {
+    /// Starts the attempts on a machine that `is_lost` selects again in this incarnation, if their
+    /// starts may still arrive.
+    pub(crate) fn repeat_attempts(
+        &mut self,
+        machine: &str,
+        incarnation: u64,
+        now: f64,
+        is_lost: impl Fn(&Attempt) -> bool,
+    ) {
         let Some(worker) = self.workers.get(machine) else {
             return;
         };
-        let carried_over: Vec<Attempt> = worker
-            .attempts
-            .iter()
-            .filter(|attempt| attempt.incarnation < incarnation && attempt.can_be_repeated())
+        let attempts = worker.attempts.iter();
+        let lost: Vec<Attempt> = attempts
+            .filter(|attempt| attempt.can_be_repeated() && is_lost(attempt))
             .cloned()
             .collect();
-        for attempt in carried_over {
+        for attempt in lost {
             self.count_run(&attempt, now);
             let checkpointed_s = self.checkpoint_after_loss(&attempt, now);
             self.update_attempt(machine, attempt.number, |attempt| {
-                attempt.carry_over(incarnation, checkpointed_s);
+                attempt.repeat(incarnation, checkpointed_s);
             });
         }
     }
@@ -152,14 +160,14 @@
         !self.restored || self.is_start_indeterminate()
     }
 
-    /// Whether it may be started again on its machine.
+    /// Whether it must be started again on its machine if it was lost there.
     fn can_be_repeated(&self) -> bool {
-        !self.is_ended() && !self.is_cancelled()
+        self.may_yet_start() && !self.is_ended() && !self.is_cancelled()
     }
 
-    /// Moves it to a later incarnation of its agent, in which it is started again unless its
-    /// earlier start arrives first. Any decision to stop it is dropped.
-    fn carry_over(&mut self, incarnation: u64, checkpointed_s: f64) {
+    /// Lets it be started again in this incarnation of its agent, unless its earlier start
+    /// arrives first. Any decision to stop it is dropped.
+    fn repeat(&mut self, incarnation: u64, checkpointed_s: f64) {
         self.incarnation = incarnation;
         self.phase = AttemptPhase::Recorded;
         self.running_since = None;
