Scheduler: a late copy of a former incarnation shows no restart of the agent

Before a new leader has heard its own token from a machine, a heartbeat of a lower incarnation than a recorded one may be a late copy. It was taken as a restart of the agent, and the machine would have been returned with what runs on it.

--- a/crates/tallygauge-scheduler/src/tests/undelivered_starts.rs
+++ b/crates/tallygauge-scheduler/src/tests/undelivered_starts.rs
@@ -469,6 +469,13 @@
     c.restore_placements("2-7", &batch, 100.0, 0.0);
     let record = UndeliveredStartsRecord { attempts: vec![77] };
     c.restore_undelivered_starts([("2-1".into(), record)].into(), 100.0);
+    let late_copy = heartbeat_from("sa", 1, 1, TERM - 1, vec![]);
+    c.apply_heartbeat(101.0, &late_copy, HeartbeatSource::Periodic);
+    c.advance_time(101.0);
+    assert!(
+        !c.workers["sa"].is_being_returned(),
+        "it may be of a former incarnation"
+    );
     send_heartbeat(&mut c, "sa", (1, 2), 102.0);
     c.advance_time(102.0);
     let returnable = c.machines_to_return(102.0);
--- a/crates/tallygauge-scheduler/src/undelivered_starts.rs
+++ b/crates/tallygauge-scheduler/src/undelivered_starts.rs
@@ -235,8 +235,9 @@
     }
 
     /// Whether its agent has restarted since the attempt was placed, and has not come as far as
-    /// the incarnation that the attempt was placed on.
+    /// the incarnation that the attempt was placed on. A heartbeat without this leader's token
+    /// does not show that: it may be a late copy of an earlier incarnation.
     fn has_restarted_since(&self, attempt: &Attempt) -> bool {
-        self.has_reported() && self.incarnation < attempt.incarnation
+        self.fencing_token_seen_at.is_some() && self.incarnation < attempt.incarnation
     }
 }
