--- a/crates/tallygauge-scheduler/src/scale_in.rs
+++ b/crates/tallygauge-scheduler/src/scale_in.rs
@@ -192,9 +192,24 @@
     ///
     /// Machines that are returned for safety come first.
     pub fn machines_to_return(&mut self, now: f64) -> Vec<ReturnableMachine> {
-        let mut returnable = Vec::new();
+        self.decide_idle_returns(now);
+        let workers = self.workers.values();
+        let mut returnable: Vec<ReturnableMachine> = workers
+            .filter_map(|worker| {
+                Some(ReturnableMachine {
+                    name: worker.name.clone(),
+                    reason: self.effective_return_reason(worker, now)?,
+                })
+            })
+            .collect();
+        // A request returns a limited number of machines.
+        returnable.sort_by_key(|machine| !machine.reason.is_for_safety());
+        returnable
+    }
+
+    /// Decides to return empty machines that are surplus or have been idle for long.
+    fn decide_idle_returns(&mut self, now: f64) {
         let idle_timeout_boot_times = self.config.idle_timeout_boot_times;
-        let settle_s = 2.0 * self.config.list_lag_s;
         for worker in self.workers.values_mut() {
             let boot_s = self
                 .machine_types
@@ -213,37 +228,38 @@
             {
                 worker.decide_return(ReturnReason::Idle, now, &mut self.events);
             }
-            // Without the machine, tasks whose end is not durable yet would run again.
-            let has_unsaved_ends = worker
-                .attempts
-                .iter()
-                .any(|a| !a.occupies_capacity() && !a.end_durable);
-            let need_not_be_empty = |decision: &ReturnDecision| match decision.reason {
-                ReturnReason::CancelUnconfirmed => true,
-                ReturnReason::BootTimeout | ReturnReason::Failed => {
-                    now - self.term_started_at > settle_s
-                }
-                ReturnReason::Silent | ReturnReason::Unreachable => now - decision.at > settle_s,
-                ReturnReason::UndeliveredStart => {
-                    worker.agent_restarted
-                        || now - decision.at > self.config.lease_s * MAX_DRAIN_LEASES
-                }
-                ReturnReason::Faulty | ReturnReason::Slow | ReturnReason::Idle => false,
-            };
-            let is_vacated = !worker.has_live_attempts() && !has_unsaved_ends;
-            let effective = worker
-                .return_decisions
-                .iter()
-                .filter(|decision| is_vacated || need_not_be_empty(decision))
-                .min_by_key(|decision| !decision.reason.is_for_safety());
-            returnable.extend(effective.map(|decision| ReturnableMachine {
-                name: worker.name.clone(),
-                reason: decision.reason,
-            }));
         }
-        // A request returns a limited number of machines.
-        returnable.sort_by_key(|machine| !machine.reason.is_for_safety());
-        returnable
+    }
+
+    /// The reason for which a machine can be returned now, if any.
+    fn effective_return_reason(&self, worker: &Worker, now: f64) -> Option<ReturnReason> {
+        // Without the machine, tasks whose end is not durable yet would run again.
+        let has_unsaved_ends = worker
+            .attempts
+            .iter()
+            .any(|a| !a.occupies_capacity() && !a.end_durable);
+        let is_vacated = !worker.has_live_attempts() && !has_unsaved_ends;
+        let decisions = worker.return_decisions.iter();
+        decisions
+            .filter(|decision| is_vacated || self.need_not_be_vacated(worker, decision, now))
+            .map(|decision| decision.reason)
+            .min_by_key(|reason| !reason.is_for_safety())
+    }
+
+    /// Whether a machine is returned for this reason with what runs on it.
+    fn need_not_be_vacated(&self, worker: &Worker, decision: &ReturnDecision, now: f64) -> bool {
+        let settle_s = 2.0 * self.config.list_lag_s;
+        match decision.reason {
+            ReturnReason::CancelUnconfirmed => true,
+            ReturnReason::BootTimeout | ReturnReason::Failed => {
+                now - self.term_started_at > settle_s
+            }
+            ReturnReason::Silent | ReturnReason::Unreachable => now - decision.at > settle_s,
+            ReturnReason::UndeliveredStart => {
+                worker.agent_restarted || now - decision.at > self.config.lease_s * MAX_DRAIN_LEASES
+            }
+            ReturnReason::Faulty | ReturnReason::Slow | ReturnReason::Idle => false,
+        }
     }
 
     /// Records that a request to return machines is being sent. From now on, the
