--- a/crates/tallygauge-scheduler/src/tests/mod.rs
+++ b/crates/tallygauge-scheduler/src/tests/mod.rs
@@ -17,6 +17,7 @@
 mod reference_model;
 mod return_decisions;
 mod start_deadline;
+mod undelivered_start_records;
 mod undelivered_starts;
 mod worker_leases;
 
@@ -224,14 +225,21 @@
 /// When the job of [`cluster_with_undelivered_start`] is cancelled.
 const CANCELLED_AT: f64 = 101.0;
 
-/// A cluster in which the direct message with the start of `req-1/0` on machine `sa` failed at
-/// [`CANCELLED_AT`]. The start may still arrive unless the message was `never_sent`.
-fn cluster_with_failed_start_message(never_sent: bool) -> ClusterState {
+/// A cluster in which the start of `req-1/0` was sent to machine `sa` in a direct message, which
+/// is still in flight.
+fn cluster_with_sent_start() -> (ClusterState, DirectMessage) {
     let mut c = cluster(&["sa"], 100.0);
     c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
     round(&mut c, 100.0);
     let message = c.take_direct_messages(100.0, 1.0).remove(0);
     assert_eq!(message.started_attempts.len(), 1);
+    (c, message)
+}
+
+/// A cluster in which the direct message with the start of `req-1/0` on machine `sa` failed at
+/// [`CANCELLED_AT`]. The start may still arrive unless the message was `never_sent`.
+fn cluster_with_failed_start_message(never_sent: bool) -> ClusterState {
+    let (mut c, message) = cluster_with_sent_start();
     c.record_direct_message_result(&message, false, never_sent, CANCELLED_AT);
     c
 }
--- a/crates/tallygauge-scheduler/src/tests/undelivered_starts.rs
+++ b/crates/tallygauge-scheduler/src/tests/undelivered_starts.rs
@@ -6,18 +6,26 @@
 const GIVEN_UP_AT: f64 = CANCELLED_AT;
 
 /// A time many leases after the message was given up.
-const MUCH_LATER: f64 = GIVEN_UP_AT + 1000.0;
+pub(super) const MUCH_LATER: f64 = GIVEN_UP_AT + 1000.0;
 
 /// A cluster with the machines `sa`, which gets the task `req-1/0`, and `sb`. The direct message
 /// with the start was given up.
-fn cluster_with_late_start() -> ClusterState {
+pub(super) fn cluster_with_late_start() -> ClusterState {
     let mut c = cluster_with_failed_start_message(false);
     send_heartbeat(&mut c, "sb", (1, 1), MUCH_LATER - 1.0);
     c
 }
 
+/// Why the first of the machines that are due is returned, if any is.
+pub(super) fn due_return(c: &mut ClusterState, now: f64) -> Option<ReturnReason> {
+    c.advance_time(now);
+    c.machines_to_return(now)
+        .first()
+        .map(|machine| machine.reason)
+}
+
 /// Sends a heartbeat without tasks, of the given incarnation and sequence number.
-fn send_heartbeat(c: &mut ClusterState, machine: &str, mark: (u64, u64), now: f64) {
+pub(super) fn send_heartbeat(c: &mut ClusterState, machine: &str, mark: (u64, u64), now: f64) {
     let heartbeat = heartbeat_from(machine, mark.0, mark.1, TERM, vec![]);
     c.apply_heartbeat(now, &heartbeat, HeartbeatSource::Periodic);
 }
@@ -60,8 +68,7 @@
     c.advance_time(GIVEN_UP_AT + c.config.lease_s * 3.0);
     assert!(c.machines_to_return(MUCH_LATER).is_empty());
     c.advance_time(GIVEN_UP_AT + c.config.lease_s * 5.0);
-    let returnable = c.machines_to_return(MUCH_LATER);
-    assert_eq!(returnable[0].reason, ReturnReason::Silent);
+    assert_eq!(due_return(&mut c, MUCH_LATER), Some(ReturnReason::Silent));
 }
 
 #[test]
@@ -133,9 +140,10 @@
     let commands = c.commands("sa", GIVEN_UP_AT + 25.0);
     assert!(commands.is_empty(), "{commands:?}");
     let overdue = GIVEN_UP_AT + c.config.cancel_timeout_s * 0.8;
-    c.advance_time(overdue);
-    let returnable = c.machines_to_return(overdue);
-    assert_eq!(returnable[0].reason, ReturnReason::CancelUnconfirmed);
+    assert_eq!(
+        due_return(&mut c, overdue),
+        Some(ReturnReason::CancelUnconfirmed)
+    );
     c.deregister_machine("sa", overdue);
     assert_eq!(c.quota_usage[0].cpus, 0.0);
 }
@@ -169,10 +177,7 @@
     // Guards against returning a machine for a start that has arrived: a message is executed
     // once, and no other carried the start.
     for is_given_up_first in [true, false] {
-        let mut c = cluster(&["sa"], 100.0);
-        c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
-        round(&mut c, 100.0);
-        let message = c.take_direct_messages(100.0, 1.0).remove(0);
+        let (mut c, message) = cluster_with_sent_start();
         let give_up = |c: &mut ClusterState| {
             c.record_direct_message_result(&message, false, false, GIVEN_UP_AT);
         };
@@ -197,11 +202,11 @@
 }
 
 /// A cluster with the machine `sa` alone, in which a heartbeat response repeated the start that
-/// was given up, and `sa` reports the attempt in this state.
-fn cluster_with_repeated_start(state: TaskState, cause: Option<EndCause>) -> ClusterState {
+/// was given up, and `sa` reports that the attempt runs.
+fn cluster_with_repeated_start() -> ClusterState {
     let mut c = cluster_with_failed_start_message(false);
     respond_to_heartbeat(&mut c, GIVEN_UP_AT);
-    report(&mut c, (1, 2), state, cause, GIVEN_UP_AT);
+    report_all_running(&mut c, "sa", 2, GIVEN_UP_AT);
     c
 }
 
@@ -211,39 +216,20 @@
     c.record_heartbeat_response("sa", &commands, now);
 }
 
-/// Lets `sa` report its only attempt in this state.
-fn report(
-    c: &mut ClusterState,
-    mark: (u64, u64),
-    state: TaskState,
-    cause: Option<EndCause>,
-    now: f64,
-) {
-    let attempt = c.workers["sa"].attempts[0].number;
-    let tasks = vec![task("req-1/0", attempt, state, cause)];
-    let heartbeat = heartbeat_from("sa", mark.0, mark.1, TERM, tasks);
-    c.apply_heartbeat(now, &heartbeat, HeartbeatSource::Periodic);
-}
-
 #[test]
 fn machine_with_a_stopped_task_of_a_cancelled_job_is_returned_before_a_late_start_of_it() {
     // Guards against a cancelled task that starts again: it ran by a heartbeat response and was
     // stopped, and the direct message arrived after a restart of the agent.
-    let mut c = cluster_with_repeated_start(TaskState::Running, None);
+    let mut c = cluster_with_repeated_start();
     c.remove_job("req-1", GIVEN_UP_AT);
-    report(
-        &mut c,
-        (1, 3),
-        TaskState::Ended,
-        Some(EndCause::Halted),
-        GIVEN_UP_AT + 2.0,
-    );
+    report_all_ended(&mut c, "sa", 3, EndCause::Halted, GIVEN_UP_AT + 2.0);
     assert_eq!(c.quota_usage[0].cpus, 1.0, "it may start once more");
     assert!(!c.workers["sa"].accepts_work(GIVEN_UP_AT + 2.0, &c.config));
     let overdue = GIVEN_UP_AT + c.config.cancel_timeout_s * 0.8;
-    c.advance_time(overdue);
-    let returnable = c.machines_to_return(overdue);
-    assert_eq!(returnable[0].reason, ReturnReason::CancelUnconfirmed);
+    assert_eq!(
+        due_return(&mut c, overdue),
+        Some(ReturnReason::CancelUnconfirmed)
+    );
     c.deregister_machine("sa", overdue);
     assert_eq!(c.quota_usage[0].cpus, 0.0);
 }
@@ -258,30 +244,23 @@
     let message = c.take_direct_messages(100.0, 1.0).remove(0);
     respond_to_heartbeat(&mut c, 100.0);
     c.record_direct_message_result(&message, false, false, GIVEN_UP_AT);
-    report(
-        &mut c,
-        (1, 2),
-        TaskState::Ended,
-        Some(EndCause::Done),
-        GIVEN_UP_AT,
-    );
-    assert_eq!(
-        c.quota_usage[0].cpus, 0.0,
-        "a completed task ends at once if it starts again"
-    );
+    report_all_ended(&mut c, "sa", 2, EndCause::Done, GIVEN_UP_AT);
+    assert_eq!(c.quota_usage[0].cpus, 0.0, "started again, it ends at once");
     send_heartbeat(&mut c, "sa", (2, 3), GIVEN_UP_AT + 25.0);
     c.remove_job("req-1", GIVEN_UP_AT + 25.0);
     let overdue = GIVEN_UP_AT + 25.0 + c.config.cancel_timeout_s * 0.8;
-    c.advance_time(overdue);
-    let returnable = c.machines_to_return(overdue);
-    assert_eq!(returnable[0].reason, ReturnReason::CancelUnconfirmed);
+    assert_eq!(
+        due_return(&mut c, overdue),
+        Some(ReturnReason::CancelUnconfirmed)
+    );
 }
 
 #[test]
 fn failed_task_whose_start_may_still_arrive_is_retried_when_the_machine_is_gone() {
     // Guards against a task on two machines: it failed, was started elsewhere, and the direct
     // message with its first start arrived after a restart of the agent.
-    let mut c = cluster_with_repeated_start(TaskState::Ended, Some(EndCause::Error));
+    let mut c = cluster_with_repeated_start();
+    report_all_ended(&mut c, "sa", 3, EndCause::Error, GIVEN_UP_AT);
     send_heartbeat(&mut c, "sb", (1, 1), MUCH_LATER - 1.0);
     assert!(round(&mut c, MUCH_LATER).is_empty());
     c.advance_time(GIVEN_UP_AT);
@@ -292,8 +271,10 @@
         "the other takes no more work"
     );
     let drained = GIVEN_UP_AT + c.config.lease_s * 2.5;
-    let returnable = c.machines_to_return(drained);
-    assert_eq!(returnable[0].reason, ReturnReason::UndeliveredStart);
+    assert_eq!(
+        due_return(&mut c, drained),
+        Some(ReturnReason::UndeliveredStart)
+    );
     c.deregister_machine("sa", drained);
     assert_eq!(round(&mut c, MUCH_LATER).len(), 1);
 }
@@ -301,17 +282,8 @@
 #[test]
 fn task_that_was_refused_before_its_message_was_answered_is_requeued_with_the_answer() {
     // Guards against a task that is retained for a start that has arrived.
-    let mut c = cluster(&["sa"], 100.0);
-    c.add_job(spec(1, 1, 1.0), 1, 90.0, &RangeSet::default());
-    round(&mut c, 100.0);
-    let message = c.take_direct_messages(100.0, 1.0).remove(0);
-    report(
-        &mut c,
-        (1, 2),
-        TaskState::Ended,
-        Some(EndCause::NoRoom),
-        100.5,
-    );
+    let (mut c, message) = cluster_with_sent_start();
+    report_all_ended(&mut c, "sa", 2, EndCause::NoRoom, 100.5);
     assert_eq!(placed_on(&c, "sa"), 1);
     c.record_direct_message_result(&message, true, false, 100.6);
     assert_eq!(placed_on(&c, "sa"), 0);
@@ -326,7 +298,7 @@
 #[test]
 fn task_whose_start_may_still_arrive_is_not_preempted() {
     // Guards against a preempted task that can't be placed until its machine is gone.
-    let mut c = cluster_with_repeated_start(TaskState::Running, None);
+    let mut c = cluster_with_repeated_start();
     let mut urgent = spec(2, 1, 4.0);
     urgent.priority = Priority::High;
     c.add_job(urgent, 1, 90.0, &RangeSet::default());
@@ -334,174 +306,11 @@
     assert!(c.workers["sa"].attempts[0].stop.is_none());
 }
 
-/// The state of a new leader that has restored the attempt 77 of `req-1/0` on `sa`. The machine
-/// `sb` has sent a heartbeat.
-fn cluster_of_next_leader() -> ClusterState {
-    let mut c = cluster(&["sb"], 100.0);
-    c.add_job(spec(1, 1, 1.5), 1, 90.0, &RangeSet::default());
-    c.restore_placements("2-7", &earlier_leader_batch(), 100.0, 0.0);
-    c
-}
-
-#[test]
-fn machine_that_the_next_leader_never_hears_is_returned_with_its_attempts() {
-    // Guards against a task that waits for ever for a machine that hangs for good.
-    let mut c = cluster_of_next_leader();
-    c.workers.get_mut("sa").unwrap().booted_at = Some(100.0);
-    c.advance_time(100.0 + c.config.lease_s * 3.9);
-    assert!(!c.workers["sa"].is_being_returned());
-    c.advance_time(100.0 + c.config.lease_s * 4.1);
-    let returnable = c.machines_to_return(MUCH_LATER);
-    assert_eq!(returnable[0].reason, ReturnReason::Silent);
-    assert!(round(&mut c, MUCH_LATER).is_empty());
-}
-
-#[test]
-fn start_of_an_earlier_leader_may_arrive_when_the_agent_has_restarted() {
-    // Guards against a task on two machines: the restarted agent has heard of no leader, and
-    // executes what an earlier one sent.
-    let mut c = cluster_of_next_leader();
-    let running = task("req-1/0", 77, TaskState::Running, None);
-    let heartbeat = heartbeat_from("sa", 1, 9, TERM, vec![running]);
-    c.apply_heartbeat(101.0, &heartbeat, HeartbeatSource::Periodic);
-    let without_token = heartbeat_from("sa", 1, 10, 0, vec![]);
-    c.apply_heartbeat(102.0, &without_token, HeartbeatSource::Periodic);
-    c.advance_time(102.0);
-    let returnable = c.machines_to_return(102.0);
-    assert_eq!(returnable[0].reason, ReturnReason::UndeliveredStart);
-    c.advance_time(MUCH_LATER);
-    send_heartbeat(&mut c, "sb", (1, 2), MUCH_LATER);
-    assert!(round(&mut c, MUCH_LATER).is_empty());
-    c.deregister_machine("sa", MUCH_LATER);
-    assert_eq!(round(&mut c, MUCH_LATER).len(), 1);
-}
-
-/// The record of the starts that were given up, which is then durable.
-fn record_undelivered_starts(c: &mut ClusterState) -> UndeliveredStarts {
-    let starts = c.next_undelivered_starts(10).expect("a start was given up");
-    assert_eq!(
-        c.next_undelivered_starts(10),
-        Some(starts.clone()),
-        "until it is durable"
-    );
-    c.record_undelivered_starts_committed(&starts.name);
-    assert_eq!(c.next_undelivered_starts(10), None);
-    starts
-}
-
-/// The state of a new leader as [`cluster_of_next_leader`], for which an earlier leader recorded
-/// that the start of attempt 77 was given up.
-fn cluster_of_next_leader_with_record() -> ClusterState {
-    let mut c = cluster_of_next_leader();
-    let record = UndeliveredStartsRecord {
-        attempts: vec![77, 78],
-    };
-    c.restore_undelivered_starts([("2-1".into(), record)].into(), 100.0);
-    c
-}
-
-#[test]
-fn start_that_was_given_up_is_recorded_until_its_attempt_is_gone() {
-    let mut c = cluster_with_late_start();
-    let attempt = c.workers["sa"].attempts[0].number;
-    let starts = record_undelivered_starts(&mut c);
-    assert_eq!(starts.record.attempts, [attempt]);
-    assert!(c.obsolete_undelivered_starts(9).is_empty());
-    c.deregister_machine("sa", MUCH_LATER);
-    let obsolete = c.obsolete_undelivered_starts(9);
-    assert_eq!(obsolete, std::slice::from_ref(&starts.name));
-    c.record_undelivered_starts_removed(&starts.name);
-    assert!(c.obsolete_undelivered_starts(9).is_empty());
-}
-
-#[test]
-fn record_of_an_attempt_that_is_gone_before_it_is_durable_is_obsolete() {
-    // Guards against records that are never removed.
-    let mut c = cluster_with_late_start();
-    let starts = c.next_undelivered_starts(10).unwrap();
-    c.deregister_machine("sa", MUCH_LATER);
-    c.record_undelivered_starts_committed(&starts.name);
-    assert_eq!(c.obsolete_undelivered_starts(9), [starts.name]);
-}
-
-#[test]
-fn start_that_an_earlier_leader_gave_up_is_repeated_on_its_machine() {
-    // Guards against a task on two machines: the next leader heard the machine, which lacked the
-    // attempt, and placed the task elsewhere; the start arrived after a restart of the agent.
-    let mut c = cluster_of_next_leader_with_record();
-    send_heartbeat(&mut c, "sa", (1, 9), 102.0);
-    assert!(round(&mut c, 102.0).is_empty());
-    assert_eq!(
-        start_commands(&c, "sa", 102.0),
-        [("req-1/0".to_string(), 77)]
-    );
-    send_heartbeat(&mut c, "sa", (2, 10), 130.0);
-    assert_eq!(start_commands(&c, "sa", 130.0).len(), 1);
-    let done = task("req-1/0", 77, TaskState::Ended, Some(EndCause::Done));
-    let heartbeat = heartbeat_from("sa", 2, 11, TERM, vec![done]);
-    c.apply_heartbeat(140.0, &heartbeat, HeartbeatSource::Periodic);
-    assert!(c.jobs["req-1"].is_complete());
-}
-
-#[test]
-fn machine_is_returned_if_a_start_that_an_earlier_leader_gave_up_is_of_a_cancelled_job() {
-    // Guards against a team over its quota: a cancelled task started again after the leader had
-    // changed and the agent had restarted.
-    let mut c = cluster_of_next_leader_with_record();
-    c.remove_job("req-1", 101.0);
-    let halted = task("req-1/0", 77, TaskState::Ended, Some(EndCause::Halted));
-    let heartbeat = heartbeat_from("sa", 1, 9, TERM, vec![halted]);
-    c.apply_heartbeat(102.0, &heartbeat, HeartbeatSource::Periodic);
-    assert_eq!(c.quota_usage[0].cpus, 1.5);
-    let overdue = 101.0 + c.config.cancel_timeout_s * 0.8;
-    c.advance_time(overdue);
-    let returnable = c.machines_to_return(overdue);
-    assert_eq!(returnable[0].reason, ReturnReason::CancelUnconfirmed);
-}
-
-#[test]
-fn machine_is_returned_if_its_agent_restarted_before_an_incarnation_that_is_recorded() {
-    // Guards against a task that waits for an incarnation that its agent may never reach.
-    let mut c = cluster(&["sb"], 100.0);
-    c.add_job(spec(1, 1, 1.5), 1, 90.0, &RangeSet::default());
-    let mut batch = earlier_leader_batch();
-    batch.workers[0].incarnation = 3;
-    c.restore_placements("2-7", &batch, 100.0, 0.0);
-    let record = UndeliveredStartsRecord { attempts: vec![77] };
-    c.restore_undelivered_starts([("2-1".into(), record)].into(), 100.0);
-    let late_copy = heartbeat_from("sa", 1, 1, TERM - 1, vec![]);
-    c.apply_heartbeat(101.0, &late_copy, HeartbeatSource::Periodic);
-    c.advance_time(101.0);
-    assert!(
-        !c.workers["sa"].is_being_returned(),
-        "it may be of a former incarnation"
-    );
-    send_heartbeat(&mut c, "sa", (1, 2), 102.0);
-    c.advance_time(102.0);
-    let returnable = c.machines_to_return(102.0);
-    assert_eq!(returnable[0].reason, ReturnReason::UndeliveredStart);
-}
-
-#[test]
-fn recorded_start_is_not_repeated_if_its_task_was_placed_again() {
-    // Guards against a task on two machines if a leader in between does not read the records.
-    let mut c = cluster_of_next_leader();
-    let mut later = earlier_leader_batch();
-    later.first_attempt = 99;
-    later.workers[0].name = "sb".into();
-    c.restore_placements("2-8", &later, 100.0, 0.0);
-    let record = UndeliveredStartsRecord { attempts: vec![77] };
-    c.restore_undelivered_starts([("2-1".into(), record)].into(), 100.0);
-    send_heartbeat(&mut c, "sa", (1, 9), 102.0);
-    assert!(start_commands(&c, "sa", 102.0).is_empty());
-    assert_eq!(c.obsolete_undelivered_starts(9).len(), 1);
-}
-
 #[test]
 fn running_task_that_its_agent_lost_unnoticed_is_started_there_again() {
     // Guards against a task that waits for ever: the agent restarted while its heartbeats were
     // lost, so that the next one that arrived seemed to follow those before.
-    let mut c = cluster_with_repeated_start(TaskState::Running, None);
+    let mut c = cluster_with_repeated_start();
     send_heartbeat(&mut c, "sa", (1, 3), GIVEN_UP_AT + 2.0);
     assert_eq!(placed_on(&c, "sa"), 1);
     assert_eq!(start_commands(&c, "sa", GIVEN_UP_AT + 2.0).len(), 1);
