Log what became of each start, and attempts that reappear after their clear

The operators saw a task on two machines (ran_twice). The records of the machines show a direct start that was executed, answered and cleared, and executed once more 6.3 s later. The controller's own log could not show it: no line for the commands in an answer to a heartbeat, for a clear, or for the first report of an attempt, and an attempt that came back was adopted without a word.

New at debug: "heartbeat response with commands" with token, incarnation and sequence, and "attempt first observed". New at warn: "attempt reappeared, a copy of its start was executed"; counted as reappeared_attempts in the summary. No behaviour changes.

--- a/crates/tallygauge-scheduler/src/cluster_state.rs
+++ b/crates/tallygauge-scheduler/src/cluster_state.rs
@@ -118,6 +118,9 @@
     pub needs_scheduling: bool,
     /// The earliest end of a retry restriction that the last round encountered.
     pub(crate) next_restriction_end: Option<f64>,
+    /// Number of attempts of this term that a worker had again after it had been told to forget
+    /// them.
+    pub reappeared_attempts: u64,
     /// Events for the log that the caller has not drained yet.
     pub events: Vec<ClusterEvent>,
 
@@ -159,6 +162,7 @@
             demand_history: Vec::new(),
             needs_scheduling: true,
             next_restriction_end: None,
+            reappeared_attempts: 0,
             events: Vec::new(),
             minimum_share: MinimumShare::new(&config),
             start_deadlines: StartDeadlines::default(),
--- a/crates/tallygauge-scheduler/src/events.rs
+++ b/crates/tallygauge-scheduler/src/events.rs
@@ -7,7 +7,7 @@
 use crate::model::ReturnReason;
 use std::sync::Arc;
 use tallygauge_health::Evidence;
-use tallygauge_protocol::workers::EndCause;
+use tallygauge_protocol::workers::{EndCause, TaskState};
 
 /// An event in the cluster. Durations are in seconds.
 #[derive(Debug, Clone, PartialEq)]
@@ -71,6 +71,29 @@
         /// Whether a direct message with its start may still arrive at the machine.
         start_undelivered: bool,
     },
+    /// A heartbeat reported an attempt for the first time.
+    FirstObserved {
+        /// Name of the task, `JOB/INDEX`.
+        task: String,
+        /// Name of the machine that it is on.
+        machine: String,
+        /// Number of the attempt.
+        attempt: u64,
+        /// Its state on the machine.
+        state: TaskState,
+    },
+    /// A worker has an attempt of this term that it had been told to forget: a copy of its start
+    /// has arrived.
+    Reappeared {
+        /// Name of the task, `JOB/INDEX`.
+        task: String,
+        /// Name of the machine that it is on.
+        machine: String,
+        /// Number of the attempt.
+        attempt: u64,
+        /// Its state on the machine.
+        state: TaskState,
+    },
     /// An attempt is stopped for a job that takes precedence.
     Preempted {
         /// Name of the task, `JOB/INDEX`.
--- a/crates/tallygauge-scheduler/src/placements.rs
+++ b/crates/tallygauge-scheduler/src/placements.rs
@@ -149,6 +149,11 @@
         self.last_attempt_number
     }
 
+    /// Whether this leader has allocated the attempt number.
+    pub(crate) fn is_number_of_this_term(&self, number: u64) -> bool {
+        number > number_before_first_attempt(self.config.term) && number <= self.last_attempt_number
+    }
+
     /// Whether the attempt numbers of this term are used up, so that the leader must step
     /// down.
     #[must_use]
--- a/crates/tallygauge-scheduler/src/task_status.rs
+++ b/crates/tallygauge-scheduler/src/task_status.rs
@@ -92,6 +92,15 @@
             return;
         };
         let attempt = &mut worker.attempts[position];
+        if attempt.phase == AttemptPhase::Recorded {
+            self.events
+                .push(ClusterEvent::Attempt(AttemptEvent::FirstObserved {
+                    task: status.task.clone(),
+                    machine: machine.to_string(),
+                    attempt: status.attempt,
+                    state: status.state,
+                }));
+        }
         attempt.incarnation = incarnation;
         attempt.record_seen();
         if attempt.is_ended() {
@@ -122,6 +131,7 @@
         if position.is_some() {
             return position;
         }
+        self.report_reappeared(machine, status);
         let job = self.jobs.get(job_id).filter(|job| index < job.spec.tasks)?;
         let spec = job.spec.clone();
         let attempt = Attempt::restored(spec, index, status.attempt, incarnation, now);
@@ -137,6 +147,22 @@
         Some(worker.attempts.len() - 1)
     }
 
+    /// Reports an attempt of this term that a worker has although it is not among the worker's
+    /// attempts. Attempts are removed when their worker no longer has them.
+    fn report_reappeared(&mut self, machine: &str, status: &TaskStatus) {
+        if !self.is_number_of_this_term(status.attempt) {
+            return;
+        }
+        self.reappeared_attempts += 1;
+        self.events
+            .push(ClusterEvent::Attempt(AttemptEvent::Reappeared {
+                task: status.task.clone(),
+                machine: machine.to_string(),
+                attempt: status.attempt,
+                state: status.state,
+            }));
+    }
+
     /// Applies a status which shows that an attempt has not ended.
     fn apply_observed_state(&mut self, now: f64, machine: &str, position: usize, state: TaskState) {
         let Some(worker) = self.workers.get_mut(machine) else {
--- a/crates/tallygauge/src/direct_messages.rs
+++ b/crates/tallygauge/src/direct_messages.rs
@@ -1,9 +1,9 @@
 //! Direct messages: commands that the leader sends to workers without waiting for their
 //! heartbeats.
 
-use crate::controller::Controller;
+use crate::{command_log::AffectedAttempts, controller::Controller};
 use std::{sync::Arc, time::Duration};
-use tallygauge_protocol::workers::{Command, DirectCommands, Heartbeat};
+use tallygauge_protocol::workers::{DirectCommands, Heartbeat};
 use tallygauge_scheduler::{DirectMessage, HeartbeatOutcome};
 use tallygauge_store::http::RequestError;
 use warp::http::{Method, StatusCode};
@@ -81,20 +81,13 @@
     if !tracing::enabled!(tracing::Level::DEBUG) {
         return;
     }
-    let stopped_attempts: Vec<u64> = message
-        .commands
-        .iter()
-        .filter_map(|command| match command {
-            Command::Stop { attempt, .. } => Some(*attempt),
-            Command::Start { .. } | Command::Clear { .. } => None,
-        })
-        .collect();
+    let affected = AffectedAttempts::of(&message.commands);
     tracing::debug!(
         machine = message.worker,
         term,
         incarnation = message.incarnation,
-        started_attempts = ?message.started_attempts,
-        ?stopped_attempts,
+        started_attempts = ?affected.started,
+        stopped_attempts = ?affected.stopped,
         is_probe = message.is_probe,
         "sending direct message"
     );
--- a/crates/tallygauge/src/event_log.rs
+++ b/crates/tallygauge/src/event_log.rs
@@ -87,6 +87,24 @@
             start_undelivered,
             "attempt lost with agent incarnation"
         ),
+        AttemptEvent::FirstObserved {
+            task,
+            machine,
+            attempt,
+            state,
+        } => tracing::debug!(task, machine, attempt, ?state, "attempt first observed"),
+        AttemptEvent::Reappeared {
+            task,
+            machine,
+            attempt,
+            state,
+        } => tracing::warn!(
+            task,
+            machine,
+            attempt,
+            ?state,
+            "attempt reappeared, a copy of its start was executed"
+        ),
         AttemptEvent::Preempted {
             task,
             machine,
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cleanup;
 pub mod cloud;
+mod command_log;
 pub mod connection_limits;
 pub mod controller;
 pub mod deadline_settings;
--- a/crates/tallygauge/src/summary.rs
+++ b/crates/tallygauge/src/summary.rs
@@ -79,6 +79,7 @@
         oldest_unconfirmed_s = backlog.oldest_unconfirmed_s as u64,
         indeterminate_starts = backlog.indeterminate_starts,
         uncleared_attempts = backlog.uncleared_attempts,
+        reappeared_attempts = cluster.reappeared_attempts,
         withheld_leases = backlog.withheld_leases,
         pending_returns = backlog.pending_returns,
         oldest_return_s = backlog.oldest_return_s as u64,
--- a/crates/tallygauge/src/worker_api.rs
+++ b/crates/tallygauge/src/worker_api.rs
@@ -1,6 +1,6 @@
 //! The HTTP interface for workers: heartbeats, which workers send to the leader.
 
-use crate::{controller::Controller, leadership::Leadership};
+use crate::{command_log::AffectedAttempts, controller::Controller, leadership::Leadership};
 use tallygauge_protocol::workers::{Heartbeat, HeartbeatResponse, Redirect};
 use tallygauge_scheduler::{HeartbeatOutcome, HeartbeatSource};
 use tallygauge_store::is_first_occurrence;
@@ -180,12 +180,33 @@
             commands,
         }
     });
+    if let Some(response) = &response {
+        log_commands(heartbeat, response);
+    }
     HeartbeatEffect::Applied {
         response,
         needs_scheduling,
     }
 }
 
+/// Logs the commands in the response to a heartbeat, if there are any.
+fn log_commands(heartbeat: &Heartbeat, response: &HeartbeatResponse) {
+    if response.commands.is_empty() || !tracing::enabled!(tracing::Level::DEBUG) {
+        return;
+    }
+    let affected = AffectedAttempts::of(&response.commands);
+    tracing::debug!(
+        machine = heartbeat.machine,
+        term = response.token,
+        incarnation = heartbeat.incarnation,
+        sequence = heartbeat.sequence,
+        started_attempts = ?affected.started,
+        stopped_attempts = ?affected.stopped,
+        cleared_attempts = ?affected.cleared,
+        "heartbeat response with commands"
+    );
+}
+
 /// The reply of a controller that is not the leader. Records the heartbeat, too.
 fn redirect_to_leader(controller: &Controller) -> HeartbeatReply {
     controller
