--- a/crates/tallygauge-sim/src/fault_settings.rs
+++ b/crates/tallygauge-sim/src/fault_settings.rs
@@ -115,6 +115,12 @@
     /// Whether a copy of each heartbeat is kept for
     /// [`crate::Simulation::replay_captured_heartbeats`].
     pub capture_heartbeats: bool,
+    /// Probability and delay with which a copy of a request that was executed and answered
+    /// arrives: at the store, the cloud or a worker.
+    pub repeated_requests: RandomDelay,
+    /// Whether a copy of all direct commands that a worker executed and answered is kept for
+    /// [`crate::Simulation::replay_captured_commands`].
+    pub capture_commands: bool,
     /// The point at which a controller will be paused.
     pub pause_at: Option<FaultPoint>,
     /// The point at which the store will start to refuse the requests of all controllers.
@@ -143,6 +149,8 @@
             cloud_down: false,
             duplicated_heartbeats: RandomDelay::NONE,
             capture_heartbeats: false,
+            repeated_requests: RandomDelay::NONE,
+            capture_commands: false,
             pause_at: None,
             store_down_at: None,
             paused: HashMap::new(),
--- a/crates/tallygauge-sim/src/faults.rs
+++ b/crates/tallygauge-sim/src/faults.rs
@@ -3,6 +3,7 @@
 use crate::{
     FaultPoint, FaultSettings, Simulation,
     machines::{SimWorker, job_of_task},
+    repeated_requests::RepeatedRequests,
     state::DelayedMessage,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -286,7 +287,9 @@
 impl Simulation {
     /// Seeds the random number generator of the simulation.
     pub fn seed(&self, seed: u64) {
-        self.state.lock().unwrap().random = StdRng::seed_from_u64(seed);
+        let mut state = self.state.lock().unwrap();
+        state.random = StdRng::seed_from_u64(seed);
+        state.repeated_requests = RepeatedRequests::from_seed(seed);
     }
 
     /// Starts a task on two machines, which no controller may do.
--- a/crates/tallygauge-sim/src/lib.rs
+++ b/crates/tallygauge-sim/src/lib.rs
@@ -16,7 +16,8 @@
 //! - transactions: no response, with some of them executed late;
 //! - workers: partitioned in both directions or in one, hung, or restarted;
 //! - messages: heartbeats that are delivered twice and late, direct commands that are
-//!   delivered late, or held in transit to one machine;
+//!   delivered late, or held in transit to one machine; requests of controllers that arrive once
+//!   more after they were executed and answered;
 //! - the cloud: unavailable;
 //! - jobs: their tasks fail on every machine.
 
@@ -34,6 +35,7 @@
 mod history;
 mod logging;
 mod machines;
+mod repeated_requests;
 pub mod scenario;
 mod state;
 mod store;
--- a/crates/tallygauge-sim/src/scenario.rs
+++ b/crates/tallygauge-sim/src/scenario.rs
@@ -10,7 +10,7 @@
 pub use checks::InjectedViolation;
 
 use crate::{
-    CANCEL_TIMEOUT_S, JobRequest, JobShape, RandomDelay, Simulation, TEAM_QUOTA_CPUS,
+    CANCEL_TIMEOUT_S, JobRequest, JobShape, LEASE_S, RandomDelay, Simulation, TEAM_QUOTA_CPUS,
     is_active_leader, sleep_s,
 };
 use jobs::TrackedJob;
@@ -48,6 +48,19 @@
 /// Time between two requests for the same cancellation, in seconds.
 const CANCELLATION_RETRY_S: f64 = 1.0;
 
+/// Seeds with this remainder modulo [`REPEATED_REQUESTS_MODULUS`] give scenarios without
+/// repeated requests.
+const SEED_REMAINDER_WITHOUT_REPEATS: u64 = 1;
+
+/// See [`SEED_REMAINDER_WITHOUT_REPEATS`].
+const REPEATED_REQUESTS_MODULUS: u64 = 3;
+
+/// Probability and delay with which an answered request arrives once more in the other scenarios.
+const REPEATED_REQUESTS: RandomDelay = RandomDelay {
+    probability: 0.3,
+    max_delay_s: LEASE_S * 4.0,
+};
+
 /// How long a user retries the submission of a job.
 const SUBMISSION_TIMEOUT: Duration = Duration::from_secs(25);
 
@@ -162,6 +175,9 @@
         let random = StdRng::seed_from_u64(seed);
         simulation.seed(seed);
         simulation.state.lock().unwrap().zones = vec!["a", "b"];
+        if seed % REPEATED_REQUESTS_MODULUS != SEED_REMAINDER_WITHOUT_REPEATS {
+            simulation.set_faults(|faults| faults.repeated_requests = REPEATED_REQUESTS);
+        }
         tokio::spawn(simulation.clone().run_workers());
         let controllers = (0..CONTROLLER_COUNT)
             .map(|n| simulation.start_controller(&Self::controller_name(n)))
@@ -293,6 +309,7 @@
             faults.late_write_probability = 0.0;
             faults.delayed_commands = RandomDelay::NONE;
             faults.duplicated_heartbeats = RandomDelay::NONE;
+            faults.repeated_requests = RandomDelay::NONE;
             faults.lose_next_responses = 0;
             faults.lost_response_probability = 0.0;
             faults.commands_held_until.clear();
--- a/crates/tallygauge-sim/src/state.rs
+++ b/crates/tallygauge-sim/src/state.rs
@@ -2,8 +2,8 @@
 //! of the checkers.
 
 use crate::{
-    TEAM_QUOTA_CPUS, fault_settings::FaultSettings, machines::SimWorker, store::Store,
-    users::JobShape,
+    TEAM_QUOTA_CPUS, fault_settings::FaultSettings, machines::SimWorker,
+    repeated_requests::RepeatedRequests, store::Store, users::JobShape,
 };
 use rand::{SeedableRng, rngs::StdRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -87,6 +87,8 @@
     pub(crate) delayed_commands: Vec<DelayedCommands>,
     /// Duplicates of heartbeats that are not delivered yet.
     pub(crate) delayed_heartbeats: Vec<DelayedMessage>,
+    /// Copies of requests that were executed and answered.
+    pub(crate) repeated_requests: RepeatedRequests,
     /// Copies of heartbeats for [`crate::Simulation::replay_captured_heartbeats`].
     pub(crate) captured_heartbeats: Vec<Vec<u8>>,
     /// When users were first told that a job is cancelled, by job id, in seconds of
@@ -127,6 +129,7 @@
             endpoints: HashMap::new(),
             delayed_commands: Vec::new(),
             delayed_heartbeats: Vec::new(),
+            repeated_requests: RepeatedRequests::default(),
             captured_heartbeats: Vec::new(),
             cancelled_at: HashMap::new(),
             completed_tasks: BTreeSet::new(),
@@ -150,6 +153,13 @@
         self.violations.iter().cloned().chain(batches).collect()
     }
 
+    /// The active faults, and the copies of requests, which they determine.
+    pub(crate) fn faults_and_repeated_requests(
+        &mut self,
+    ) -> (&FaultSettings, &mut RepeatedRequests) {
+        (&self.faults, &mut self.repeated_requests)
+    }
+
     /// Address at which a worker accepts direct commands.
     pub(crate) fn endpoint<'a>(&'a self, worker: &'a str) -> &'a str {
         self.endpoints.get(worker).map_or(worker, String::as_str)
--- a/crates/tallygauge-sim/src/store_requests.rs
+++ b/crates/tallygauge-sim/src/store_requests.rs
@@ -115,6 +115,20 @@
         }
     }
 
+    /// Executes a copy of a request, whoever sent it and whatever faults affect the sender.
+    pub(crate) fn repeat_store_request(
+        &self,
+        method: &Method,
+        path: &str,
+        body: &[u8],
+    ) -> Response {
+        let now = self.now();
+        let store = &mut self.state.lock().unwrap().store;
+        let response = store.handle_request(now, method, path, body);
+        self.store_changed.notify_waiters();
+        response
+    }
+
     fn is_store_partitioned(&self, controller: &str) -> bool {
         let state = self.state.lock().unwrap();
         state.faults.store_partitioned.contains(controller)
--- a/crates/tallygauge-sim/src/transport.rs
+++ b/crates/tallygauge-sim/src/transport.rs
@@ -1,7 +1,7 @@
 //! The simulated network between a controller and the simulated store, cloud and workers:
 //! delivers each request after the link delay, and injects the faults that are set.
 
-use crate::{Simulation, exchanges::Request};
+use crate::{Simulation, exchanges::Request, repeated_requests::AnsweredRequest};
 use serde_json::Value;
 use std::{pin::Pin, sync::Arc, time::Duration};
 use tallygauge_store::http::{HttpResult, RequestError, Transport};
@@ -76,6 +76,13 @@
         }
     };
     simulation.record_outcome(number, &response);
+    let request_sent = AnsweredRequest {
+        method: method.clone(),
+        host: host.to_string(),
+        path: path.to_string(),
+        body: body.to_vec(),
+    };
+    simulation.record_answered(request_sent, &response);
     simulation
         .wait_at_fault_point(controller, &request, true)
         .await;
--- a/crates/tallygauge-sim/src/users.rs
+++ b/crates/tallygauge-sim/src/users.rs
@@ -197,15 +197,18 @@
 }
 
 /// Starts a simulation with this number of booted machines and one controller, `n-a`, and waits
-/// until the controller is the active leader and knows the machines.
-pub async fn start_with_booted_machines(count: u32) -> (Arc<Simulation>, Arc<Controller>) {
+/// until the controller is the active leader and knows the machines. Returns the controller with
+/// its background task.
+pub async fn start_with_booted_machines(
+    count: u32,
+) -> (Arc<Simulation>, Arc<Controller>, JoinHandle<()>) {
     let simulation = Simulation::new();
     simulation.state.lock().unwrap().add_booted_machines(count);
     tokio::spawn(simulation.clone().run_workers());
-    let (controller, _task) = simulation.start_controller("n-a");
+    let (controller, task) = simulation.start_controller("n-a");
     assert!(eventually(30.0, async || is_active_leader(&controller)).await);
     sleep_s(HEARTBEAT_INTERVAL_S * 2.0).await;
-    (simulation, controller)
+    (simulation, controller, task)
 }
 
 /// Total number of task starts so far.
--- a/crates/tallygauge-sim/src/worker_agent.rs
+++ b/crates/tallygauge-sim/src/worker_agent.rs
@@ -46,6 +46,7 @@
             };
             self.apply_late_writes(now);
             self.deliver_delayed_commands(now);
+            self.deliver_due_copies(now);
             self.deliver_delayed_heartbeats(now);
             for heartbeat in heartbeats {
                 self.schedule_duplicate(now, &heartbeat.body);
@@ -206,7 +207,12 @@
     /// Applies direct commands to a worker and returns its response, which contains its
     /// status; `None` if the commands do not reach it. Commands with an outdated fencing token
     /// or for another incarnation are rejected.
-    fn apply_direct_commands(&mut self, now: f64, name: &str, body: &[u8]) -> Option<Response> {
+    pub(crate) fn apply_direct_commands(
+        &mut self,
+        now: f64,
+        name: &str,
+        body: &[u8],
+    ) -> Option<Response> {
         let request: DirectCommands = serde_json::from_slice(body).unwrap();
         self.advance(now);
         let worker = self.workers.get_mut(name)?;
@@ -238,7 +244,7 @@
     }
 
     /// Whether a worker's machine is hung.
-    fn is_hung(&self, worker: &str) -> bool {
+    pub(crate) fn is_hung(&self, worker: &str) -> bool {
         self.workers
             .get(worker)
             .is_some_and(|worker| worker.is_hung())
--- a/crates/tallygauge-sim/tests/unconfirmed_cancellation.rs
+++ b/crates/tallygauge-sim/tests/unconfirmed_cancellation.rs
@@ -21,7 +21,7 @@
 
 /// A cluster with one booted machine and a leader that knows it.
 async fn start_with_one_machine() -> (Arc<Simulation>, Arc<Controller>, String) {
-    let (simulation, controller) = start_with_booted_machines(1).await;
+    let (simulation, controller, _task) = start_with_booted_machines(1).await;
     sleep_s(HEARTBEAT_INTERVAL_S).await;
     let machine = simulation.booted_machines().remove(0);
     (simulation, controller, machine)
--- a/crates/tallygauge-sim/tests/undelivered_starts.rs
+++ b/crates/tallygauge-sim/tests/undelivered_starts.rs
@@ -29,7 +29,7 @@
     /// The other machine is free after `filler_run_s`. Heartbeats of the machine to which the
     /// start is held are blocked as well.
     async fn new(filler_run_s: f64) -> Self {
-        let (simulation, controller) = start_with_booted_machines(2).await;
+        let (simulation, controller, _task) = start_with_booted_machines(2).await;
         simulation.set_faults(|faults| faults.cloud_down = true);
         submit_job(&simulation, &controller, 2, 1, 7.0, filler_run_s).await;
         // A machine that was idle for longer would be about to be returned.
