Starts go to workers in heartbeat responses alone

Cause: an action on a right that had lapsed. A direct message with a start is executed whenever it arrives with a token and a session that match, unless the agent knows the attempt. Its answer shows that it was executed, not that it is executed once: after the attempt was cleared, or the agent had restarted, a copy ran the task again. No leader can tell when the last copy has come.

Change: direct messages carry stops, tokens and probes, whose copies change nothing, and no starts. A start goes out in the answer to a heartbeat, which a worker executes at once or never. So that it need not wait for the next periodic heartbeat, the direct message that used to carry it asks for one: it starts a task number that no job can have (the most that a job may have). The worker refuses it, reports the refusal at once as a change of its tasks, and the answer carries all starts that are due. A copy of the request is refused again, whatever has restarted.

The simulated agents now report a change of their tasks, token or session after half an interval, and refuse a task that no job has, as the workers' protocol says.

--- a/crates/tallygauge-protocol/src/workers.rs
+++ b/crates/tallygauge-protocol/src/workers.rs
@@ -5,6 +5,7 @@
 //! The workers define the JSON names (`bench`, `shift`, `baton`, ...), which differ from the
 //! terms of this code. Only this module maps between the two, with serde attributes.
 
+use crate::users::MAX_TASKS_PER_JOB;
 use serde::{Deserialize, Serialize};
 
 /// Time for which a worker waits for the response to a heartbeat, seconds.
@@ -142,6 +143,34 @@
     },
 }
 
+impl Command {
+    /// A command that makes a worker send a heartbeat early, for a direct message.
+    ///
+    /// A worker reports at once what changes its tasks. This starts a task number that no job has,
+    /// so the worker refuses it and reports the refusal. It is refused again whenever a copy of the
+    /// message arrives, whatever the worker has forgotten meanwhile. `attempt` must be new, because
+    /// an attempt that the worker knows changes nothing.
+    #[must_use]
+    pub fn request_heartbeat(job_id: &str, attempt: u64) -> Self {
+        Self::Start {
+            task: format!("{job_id}/{MAX_TASKS_PER_JOB}"),
+            attempt,
+        }
+    }
+
+    /// Whether this is a command of [`Self::request_heartbeat`].
+    #[must_use]
+    pub fn is_heartbeat_request(&self) -> bool {
+        match self {
+            Self::Start { task, .. } => {
+                let number = task.rsplit('/').next().and_then(|n| n.parse().ok());
+                number == Some(MAX_TASKS_PER_JOB)
+            }
+            Self::Stop { .. } | Self::Clear { .. } => false,
+        }
+    }
+}
+
 /// Response to a heartbeat.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HeartbeatResponse {
--- a/crates/tallygauge-scheduler/src/direct_messages.rs
+++ b/crates/tallygauge-scheduler/src/direct_messages.rs
@@ -31,6 +31,8 @@
     pub commands: Vec<Command>,
     /// Numbers of the attempts that the commands start.
     pub started_attempts: Vec<u64>,
+    /// Whether the commands ask the worker for an early heartbeat.
+    pub requests_heartbeat: bool,
     /// The worker's newest message when this one was built: a live agent answers
     /// with a later one.
     pub sent_after: SequenceMark,
@@ -88,7 +90,7 @@
             let Some(worker) = self.workers.get(&machine) else {
                 continue;
             };
-            let Some(purpose) = worker.direct_message_purpose(&self.config) else {
+            let Some(purpose) = worker.direct_message_purpose() else {
                 continue;
             };
             // Many workers may be unreachable at once, and probes of them must not delay
@@ -119,9 +121,17 @@
             MessagePurpose::Fence => Vec::new(),
             MessagePurpose::Commands | MessagePurpose::Probe => self.commands(&machine, now),
         };
+        let heartbeat_request = match purpose {
+            MessagePurpose::Fence => None,
+            MessagePurpose::Commands | MessagePurpose::Probe => {
+                self.take_heartbeat_request(&machine)
+            }
+        };
         let worker = self.workers.get_mut(&machine)?;
-        let commands = worker.directly_sendable(due, &self.config);
+        let mut commands = worker.directly_sendable(due, &self.config);
         let started_attempts = worker.mark_starts_in_flight(&commands);
+        let requests_heartbeat = heartbeat_request.is_some();
+        commands.extend(heartbeat_request);
         let is_probe = purpose == MessagePurpose::Probe;
         self.in_flight_messages.add(is_probe);
         worker.direct_message_in_flight = true;
@@ -131,6 +141,7 @@
             incarnation: worker.addressed_incarnation(),
             commands,
             started_attempts,
+            requests_heartbeat,
             sent_after: worker.message_order.newest,
             is_probe,
             worker: machine,
@@ -155,6 +166,9 @@
             return;
         };
         worker.direct_message_in_flight = false;
+        if message.requests_heartbeat && !answered {
+            worker.heartbeat_requested = false;
+        }
         if answered {
             worker.direct_failures = 0;
         } else {
@@ -187,7 +201,7 @@
 impl Worker {
     /// Why the worker should get a direct message; `None` if it needs none, has no known
     /// endpoint, or is being returned.
-    fn direct_message_purpose(&self, config: &Config) -> Option<MessagePurpose> {
+    fn direct_message_purpose(&self) -> Option<MessagePurpose> {
         if self.endpoint.is_empty() || self.return_sent {
             return None;
         }
@@ -196,7 +210,7 @@
             return Some(MessagePurpose::Fence);
         }
         let is_alive = self.incarnation > self.last_dead_incarnation;
-        if is_fenced && is_alive && self.has_unsent_command(config) {
+        if is_fenced && is_alive && self.has_unsent_command() {
             return Some(MessagePurpose::Commands);
         }
         let is_probe_due = self.message_order.needs_liveness_probe()
@@ -219,17 +233,13 @@
         (limit as usize).saturating_sub(undelivered.count())
     }
 
-    /// Whether a start command was not sent yet and may be sent directly, or a stop was decided
-    /// since the last heartbeat.
-    fn has_unsent_command(&self, config: &Config) -> bool {
+    /// Whether a heartbeat should be requested, or a stop was decided since the last heartbeat.
+    fn has_unsent_command(&self) -> bool {
         let mut attempts = self
             .attempts
             .iter()
             .filter(|attempt| attempt.incarnation == self.incarnation);
-        let has_unsent_start = attempts.clone().any(|attempt| {
-            attempt.phase == AttemptPhase::Recorded && attempt.stop.is_none() && !attempt.start_sent
-        });
-        (has_unsent_start && self.direct_start_headroom(config) > 0)
+        self.needs_heartbeat_request()
             || attempts.any(|attempt| match (attempt.phase, attempt.stop) {
                 (
                     AttemptPhase::Recorded
@@ -245,7 +255,7 @@
         let mut starts_left = self.direct_start_headroom(config);
         let mut sendable = Vec::new();
         for command in commands {
-            if !self.may_send_directly(&command) {
+            if !Self::may_send_directly(&command) {
                 continue;
             }
             if matches!(command, Command::Start { .. }) {
@@ -259,24 +269,19 @@
         sendable
     }
 
-    /// Whether a command may be sent in a direct message. A start command is sent in at most
-    /// one direct message, since that message may arrive late; heartbeat responses repeat
-    /// the command.
-    fn may_send_directly(&self, command: &Command) -> bool {
+    /// Whether a command may be sent in a direct message, of which a copy may be executed again at
+    /// any later time. A start may not: it would run the task again after the worker has
+    /// forgotten the attempt.
+    fn may_send_directly(command: &Command) -> bool {
         match command {
-            Command::Start { attempt, .. } => self
-                .attempts
-                .iter()
-                .find(|placed| placed.number == *attempt)
-                .is_some_and(|placed| !placed.start_sent),
             Command::Stop { .. } => true,
-            Command::Clear { .. } => false,
+            Command::Start { .. } | Command::Clear { .. } => false,
         }
     }
 
     /// Marks the starts among these commands as sent in a direct message. Returns
     /// the numbers of their attempts.
-    fn mark_starts_in_flight(&mut self, commands: &[Command]) -> Vec<u64> {
+    pub(crate) fn mark_starts_in_flight(&mut self, commands: &[Command]) -> Vec<u64> {
         let mut started = Vec::new();
         for command in commands {
             let Command::Start {
--- a/crates/tallygauge-scheduler/src/heartbeats.rs
+++ b/crates/tallygauge-scheduler/src/heartbeats.rs
@@ -178,6 +178,9 @@
         }
         worker.last_heartbeat_at = now;
         worker.agent_restarted = false;
+        if source == HeartbeatSource::Periodic {
+            worker.heartbeat_requested = false;
+        }
         if worker.reachability.needs_probe() {
             self.needs_direct_message.insert(heartbeat.machine.clone());
         } else {
--- a/crates/tallygauge-scheduler/src/lib.rs
+++ b/crates/tallygauge-scheduler/src/lib.rs
@@ -16,6 +16,7 @@
 mod direct_messages;
 mod events;
 mod fleet_capacity;
+mod heartbeat_requests;
 mod heartbeats;
 mod image_locality;
 mod machine_reservations;
--- a/crates/tallygauge-scheduler/src/model/worker.rs
+++ b/crates/tallygauge-scheduler/src/model/worker.rs
@@ -109,6 +109,8 @@
     pub return_sent: bool,
     /// Whether a direct message to it is in flight.
     pub direct_message_in_flight: bool,
+    /// Whether it was asked for a heartbeat since the last periodic one.
+    pub heartbeat_requested: bool,
     /// Number of consecutive direct messages that it did not answer.
     pub direct_failures: u32,
     /// No direct message is sent to it before this time.
@@ -156,6 +158,7 @@
             surplus: false,
             return_sent: false,
             direct_message_in_flight: false,
+            heartbeat_requested: false,
             direct_failures: 0,
             next_direct_message_at: f64::NEG_INFINITY,
             idle_since: now,
--- a/crates/tallygauge-scheduler/src/task_status.rs
+++ b/crates/tallygauge-scheduler/src/task_status.rs
@@ -148,9 +148,11 @@
     }
 
     /// Reports an attempt of this term that a worker has although it is not among the worker's
-    /// attempts. Attempts are removed when their worker no longer has them.
+    /// attempts. Attempts are removed when their worker no longer has them. A refused start is that
+    /// of a heartbeat request.
     fn report_reappeared(&mut self, machine: &str, status: &TaskStatus) {
-        if !self.is_number_of_this_term(status.attempt) {
+        let is_refused = status.cause == Some(EndCause::NoSuch);
+        if is_refused || !self.is_number_of_this_term(status.attempt) {
             return;
         }
         self.reappeared_attempts += 1;
--- a/crates/tallygauge-sim/src/machines.rs
+++ b/crates/tallygauge-sim/src/machines.rs
@@ -24,6 +24,8 @@
     Stopped,
     /// The task has ended with an error.
     Failed,
+    /// The start was refused: the job has no such task.
+    Refused,
 }
 
 impl TaskState {
@@ -31,7 +33,7 @@
     pub(crate) fn status(self) -> &'static str {
         match self {
             Self::Running => "running",
-            Self::Completed | Self::Stopped | Self::Failed => "ended",
+            Self::Completed | Self::Stopped | Self::Failed | Self::Refused => "ended",
         }
     }
 
@@ -42,6 +44,7 @@
             Self::Completed => Some("done"),
             Self::Stopped => Some("halted"),
             Self::Failed => Some("error"),
+            Self::Refused => Some("no_such"),
         }
     }
 }
@@ -85,6 +88,9 @@
     /// simulated time; the lease runs from then.
     pub(crate) lease_renewed_at: f64,
     pub(crate) tasks: Vec<SimTask>,
+    /// Whether its tasks, its incarnation or its fencing token have changed since its last
+    /// heartbeat, so that it sends the next one early.
+    pub(crate) has_news: bool,
     /// Partitioned from all controllers: neither sends heartbeats nor receives commands, but
     /// keeps running its tasks.
     pub(crate) partitioned: bool,
@@ -110,6 +116,7 @@
             fencing_token: 0,
             lease_renewed_at: now,
             tasks: Vec::new(),
+            has_news: false,
             partitioned: false,
             inbound_blocked: false,
             outbound_blocked: false,
@@ -126,6 +133,13 @@
         self.sequence = 0;
         self.fencing_token = 0;
         self.lease_renewed_at = now;
+        self.has_news = true;
+    }
+
+    /// Accepts the fencing token of a message.
+    pub(crate) fn accept_token(&mut self, token: u64) {
+        self.has_news |= token > self.fencing_token;
+        self.fencing_token = token;
     }
 
     /// Whether the machine is hung.
@@ -164,6 +178,7 @@
             self.tasks.clear();
             self.incarnation += 1;
             self.lease_renewed_at = now;
+            self.has_news = true;
         }
     }
 }
@@ -252,6 +267,7 @@
                 let cancelled_at = self.cancelled_at.get(job);
                 let shape = &self.job_shapes[job];
                 if now - task.started_at >= shape.run_s {
+                    worker.has_news = true;
                     if shape.fails {
                         task.state = TaskState::Failed;
                     } else {
--- a/crates/tallygauge-sim/src/worker_agent.rs
+++ b/crates/tallygauge-sim/src/worker_agent.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     HEARTBEAT_INTERVAL_S, SimState, Simulation,
-    machines::SimTask,
+    machines::{SimTask, SimWorker},
     state::{DelayedCommands, DelayedMessage},
     transport::{Response, hang, ok, status},
 };
@@ -17,6 +17,9 @@
 /// Interval between the steps in which all machines and workers advance.
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Minimum time between two heartbeats of a worker that has news, in seconds.
+const EARLY_HEARTBEAT_GAP_S: f64 = HEARTBEAT_INTERVAL_S * 0.5;
+
 /// Minimum delay of direct commands that are delivered late, in seconds.
 const MIN_COMMAND_DELAY_S: f64 = 0.5;
 
@@ -32,7 +35,7 @@
     /// Runs all machines and workers indefinitely: machines boot, tasks complete, heartbeats
     /// are sent, late writes executed and delayed messages delivered.
     pub async fn run_workers(self: Arc<Self>) {
-        let mut next_heartbeat_at = HashMap::new();
+        let mut last_heartbeat_at = HashMap::new();
         loop {
             tokio::time::sleep(STEP_INTERVAL).await;
             let now = self.now();
@@ -42,7 +45,7 @@
                     state.store.expire_leases(now);
                 }
                 state.advance(now);
-                state.due_heartbeats(now, &mut next_heartbeat_at)
+                state.due_heartbeats(now, &mut last_heartbeat_at)
             };
             self.apply_late_writes(now);
             self.deliver_delayed_commands(now);
@@ -139,21 +142,29 @@
 }
 
 impl SimState {
-    /// Returns the heartbeats that are due, and sets in `next_heartbeat_at` when the next
-    /// ones of their workers are.
+    /// Returns the heartbeats that are due, and sets in `last_heartbeat_at` when the last ones of
+    /// their workers were sent.
     fn due_heartbeats(
         &mut self,
         now: f64,
-        next_heartbeat_at: &mut HashMap<String, f64>,
+        last_heartbeat_at: &mut HashMap<String, f64>,
     ) -> Vec<OutgoingHeartbeat> {
-        let is_due = |name: &String| next_heartbeat_at.get(name).is_none_or(|at| *at <= now);
+        let is_due = |name: &String, worker: &SimWorker| {
+            let interval_s = if worker.has_news {
+                EARLY_HEARTBEAT_GAP_S
+            } else {
+                HEARTBEAT_INTERVAL_S
+            };
+            let last_at = last_heartbeat_at.get(name);
+            last_at.is_none_or(|at| *at + interval_s <= now)
+        };
         let senders = self.workers.iter();
         let senders: Vec<String> = senders
-            .filter(|(name, worker)| worker.can_send() && is_due(name))
+            .filter(|(name, worker)| worker.can_send() && is_due(name, worker))
             .map(|(name, _)| name.clone())
             .collect();
         let heartbeat_of = |worker: String| {
-            next_heartbeat_at.insert(worker.clone(), now + HEARTBEAT_INTERVAL_S);
+            last_heartbeat_at.insert(worker.clone(), now);
             let body = self.next_heartbeat(&worker).unwrap();
             OutgoingHeartbeat {
                 controller_index: self.workers[&worker].controller_index,
@@ -172,6 +183,7 @@
             .get_mut(name)
             .filter(|worker| !worker.partitioned)?;
         worker.sequence += 1;
+        worker.has_news = false;
         Some(self.heartbeat(name))
     }
 
@@ -199,7 +211,7 @@
         if response.token < worker.fencing_token {
             return;
         }
-        worker.fencing_token = response.token;
+        worker.accept_token(response.token);
         worker.lease_renewed_at = worker.lease_renewed_at.max(sent_at);
         self.execute_commands(sent_at, name, &response.commands);
     }
@@ -224,13 +236,13 @@
             self.rejected_commands += 1;
             return Some(status(409, self.heartbeat(name)));
         }
-        worker.fencing_token = request.token;
+        worker.accept_token(request.token);
         self.execute_commands(now, name, &request.commands);
         Some(ok(self.heartbeat(name)))
     }
 
     /// Schedules direct commands for delivery at `due_at`.
-    fn delay_commands(&mut self, worker: &str, due_at: f64, body: Vec<u8>) {
+    pub(crate) fn delay_commands(&mut self, worker: &str, due_at: f64, body: Vec<u8>) {
         self.delayed_commands.push(DelayedCommands {
             worker: worker.to_string(),
             message: DelayedMessage { due_at, body },
--- a/crates/tallygauge/src/command_log.rs
+++ b/crates/tallygauge/src/command_log.rs
@@ -1,5 +1,5 @@
 //! The commands of a message to a worker, for the log: which attempts are started, stopped and
-//! cleared.
+//! cleared, and whether a heartbeat is requested.
 
 use tallygauge_protocol::workers::Command;
 
@@ -9,6 +9,8 @@
     pub(crate) started: Vec<u64>,
     pub(crate) stopped: Vec<u64>,
     pub(crate) cleared: Vec<u64>,
+    /// Whether the commands request a heartbeat.
+    pub(crate) requests_heartbeat: bool,
 }
 
 impl AffectedAttempts {
@@ -16,6 +18,10 @@
     pub(crate) fn of(commands: &[Command]) -> Self {
         let mut affected = Self::default();
         for command in commands {
+            if command.is_heartbeat_request() {
+                affected.requests_heartbeat = true;
+                continue;
+            }
             match command {
                 Command::Start { attempt, .. } => affected.started.push(*attempt),
                 Command::Stop { attempt, .. } => affected.stopped.push(*attempt),
--- a/crates/tallygauge/src/direct_messages.rs
+++ b/crates/tallygauge/src/direct_messages.rs
@@ -88,6 +88,7 @@
         incarnation = message.incarnation,
         started_attempts = ?affected.started,
         stopped_attempts = ?affected.stopped,
+        requests_heartbeat = affected.requests_heartbeat,
         is_probe = message.is_probe,
         "sending direct message"
     );
