Summary: how long starts wait for the heartbeat that carries them

Since starts go out in answers to heartbeats alone, an operator needs to see what that costs: starts_sent, start_wait_median_ms and start_wait_p90_ms, from when a placement was durable, and requested_heartbeats, the workers that were asked for a heartbeat and have not sent it. No message changes.

--- a/crates/tallygauge-scheduler/src/cluster_state.rs
+++ b/crates/tallygauge-scheduler/src/cluster_state.rs
@@ -12,6 +12,7 @@
     reconciliation::state::ReconciliationCursor,
     runtime_estimates::RuntimeRatio,
     start_deadline::state::StartDeadlines,
+    start_waits::StartWaits,
     undelivered_start_records::UndeliveredStartRecords,
 };
 use std::{
@@ -121,6 +122,8 @@
     /// Number of attempts of this term that a worker had again after it had been told to forget
     /// them.
     pub reappeared_attempts: u64,
+    /// Waits of starts since the last summary.
+    pub(crate) start_waits: StartWaits,
     /// Events for the log that the caller has not drained yet.
     pub events: Vec<ClusterEvent>,
 
@@ -163,6 +166,7 @@
             needs_scheduling: true,
             next_restriction_end: None,
             reappeared_attempts: 0,
+            start_waits: StartWaits::default(),
             events: Vec::new(),
             minimum_share: MinimumShare::new(&config),
             start_deadlines: StartDeadlines::default(),
--- a/crates/tallygauge-scheduler/src/commands.rs
+++ b/crates/tallygauge-scheduler/src/commands.rs
@@ -46,6 +46,9 @@
             };
             let is_start = matches!(command, Command::Start { .. });
             for attempt in worker.attempts.iter_mut().filter(|a| a.number == number) {
+                if is_start && let Some(wait_s) = attempt.start_wait_s(now) {
+                    self.start_waits.record(wait_s);
+                }
                 attempt.start_sent |= is_start;
                 attempt.start_sent_in_response |= is_start;
                 attempt.awaiting_acknowledgement = true;
--- a/crates/tallygauge-scheduler/src/lib.rs
+++ b/crates/tallygauge-scheduler/src/lib.rs
@@ -34,6 +34,7 @@
 mod scale_in;
 mod scale_out;
 mod start_deadline;
+mod start_waits;
 mod task_end;
 mod task_status;
 #[cfg(test)]
@@ -59,6 +60,7 @@
 pub use range_set::RangeSet;
 pub use scale_in::ReturnableMachine;
 pub use scale_out::Rental;
+pub use start_waits::StartWaitSummary;
 pub use tallygauge_deadlines::{CutoffDays, CutoffRule, CutoffRuleError, DeadlineTracker};
 pub use tallygauge_fairness::{GroupKind, ServiceCountsRecord};
 pub use tallygauge_health::{Reachability, SequenceMark};
--- a/crates/tallygauge-scheduler/src/model/attempt.rs
+++ b/crates/tallygauge-scheduler/src/model/attempt.rs
@@ -96,6 +96,8 @@
     /// Whether it was placed by an earlier leader: recovered from a placement batch, or
     /// adopted from a heartbeat.
     pub restored: bool,
+    /// When this leader learnt that its placement is durable.
+    pub committed_at: Option<f64>,
     /// Whether its start command was sent, in a heartbeat response or a direct message.
     pub start_sent: bool,
     /// Whether a heartbeat response carried its start command. If none did, the worker can have
@@ -140,6 +142,7 @@
             checkpointed_s: 0.0,
             stop: None,
             restored: false,
+            committed_at: None,
             start_sent: false,
             start_sent_in_response: false,
             start_messages_in_flight: 0,
@@ -171,11 +174,12 @@
 
     /// Records that its placement batch is durable. An attempt that a heartbeat has
     /// already reported keeps its phase.
-    pub(crate) fn record_committed(&mut self, batch: &Arc<str>) {
+    pub(crate) fn record_committed(&mut self, batch: &Arc<str>, now: f64) {
         if self.phase == AttemptPhase::Planned {
             self.phase = AttemptPhase::Recorded;
         }
         self.batch = Some(batch.clone());
+        self.committed_at = Some(now);
     }
 
     /// Records that a heartbeat reports it in this state, which is not `Ended`.
--- a/crates/tallygauge-scheduler/src/placements.rs
+++ b/crates/tallygauge-scheduler/src/placements.rs
@@ -213,7 +213,7 @@
             };
             for attempt in &mut worker.attempts {
                 if attempt.is_unrecorded() && batch.contains(placed, attempt) {
-                    attempt.record_committed(&batch.name);
+                    attempt.record_committed(&batch.name, now);
                     *self
                         .live_attempts_by_batch
                         .entry(batch.name.clone())
--- a/crates/tallygauge-scheduler/src/tests/heartbeat_requests.rs
+++ b/crates/tallygauge-scheduler/src/tests/heartbeat_requests.rs
@@ -130,3 +130,16 @@
     assert_eq!(c.workers["la"].attempts.len(), 2);
     assert_eq!(c.reappeared_attempts, 0);
 }
+
+#[test]
+fn waits_of_starts_count_from_the_durable_placement_to_the_first_response() {
+    let mut c = cluster_with_due_starts();
+    let commands = c.commands("la", 100.4);
+    c.record_heartbeat_response("la", &commands, 100.4);
+    c.record_heartbeat_response("la", &commands, 103.0);
+    let waits = c.take_start_waits();
+    assert_eq!(waits.count, 2, "a repeated start does not count again");
+    assert!((390..=410).contains(&waits.median_ms), "{waits:?}");
+    assert!((390..=410).contains(&waits.p90_ms), "{waits:?}");
+    assert_eq!(c.take_start_waits().count, 0);
+}
--- a/crates/tallygauge/src/summary.rs
+++ b/crates/tallygauge/src/summary.rs
@@ -69,9 +69,10 @@
     }
 }
 
-fn log_totals(cluster: &ClusterState, process: &ProcessMeasurements, now: f64) {
+fn log_totals(cluster: &mut ClusterState, process: &ProcessMeasurements, now: f64) {
     let cpus = cluster.cpu_usage();
     let backlog = cluster.confirmation_backlog(now);
+    let start_waits = cluster.take_start_waits();
     tracing::info!(
         term = process.term,
         watch_age_ms = (process.watch_age_s * 1000.0) as u64,
@@ -83,6 +84,10 @@
         withheld_leases = backlog.withheld_leases,
         pending_returns = backlog.pending_returns,
         oldest_return_s = backlog.oldest_return_s as u64,
+        requested_heartbeats = cluster.requested_heartbeats(),
+        starts_sent = start_waits.count,
+        start_wait_median_ms = start_waits.median_ms,
+        start_wait_p90_ms = start_waits.p90_ms,
         jobs = cluster.jobs.len(),
         tasks_running = running_tasks(cluster),
         tasks_pending = pending_tasks(cluster),
