Remove the sending side of direct starts

Since no direct message carries a start, this leader has no start in transit, so these are never needed: counts of starts in flight, the bound of four fifths and its headroom, the difference between a message that was given up and one that was never sent, and the loop that recorded starts that were given up.

What an earlier version recorded (u/) is still read, kept as before and removed when none of its attempts is left.

--- a/crates/tallygauge-scheduler/examples/overload/day/mod.rs
+++ b/crates/tallygauge-scheduler/examples/overload/day/mod.rs
@@ -175,13 +175,13 @@
             .expect("direct message to a machine that is not simulated");
         if !self.machines[index].is_reachable(now) {
             self.cluster
-                .record_direct_message_result(message, false, true, now);
+                .record_direct_message_result(message, false, now);
             return;
         }
         self.execute(index, message.commands.clone(), now);
         let heartbeat = self.machines[index].heartbeat();
         self.cluster
-            .record_direct_message_result(message, true, false, now);
+            .record_direct_message_result(message, true, now);
         self.cluster
             .apply_heartbeat(now, &heartbeat, HeartbeatSource::DirectReply);
     }
--- a/crates/tallygauge-scheduler/src/attempt_accounting.rs
+++ b/crates/tallygauge-scheduler/src/attempt_accounting.rs
@@ -45,7 +45,7 @@
                 self.events.push(ClusterEvent::Attempt(AttemptEvent::Lost {
                     task: attempt.task_name(),
                     machine: machine.to_string(),
-                    start_undelivered: attempt.may_yet_start(),
+                    start_undelivered: attempt.start_undelivered,
                 }));
             }
             // An ended attempt needs nothing here, even if its end is not durable yet: a
--- a/crates/tallygauge-scheduler/src/cluster_state.rs
+++ b/crates/tallygauge-scheduler/src/cluster_state.rs
@@ -250,14 +250,14 @@
             for attempt in attempts.filter(|attempt| attempt.spec.id == job.spec.id) {
                 if attempt.is_ended() {
                     attempt.end_durable = true;
-                    if attempt.may_yet_start() && !job.is_complete() {
+                    if attempt.start_undelivered && !job.is_complete() {
                         attempt.request_stop(StopReason::Cancelled, now);
                     }
                     continue;
                 }
                 attempt.request_stop(StopReason::Cancelled, now);
                 stopped += 1;
-                if attempt.may_yet_start() {
+                if attempt.start_undelivered {
                     undelivered_starts.push(attempt.number);
                 }
             }
--- a/crates/tallygauge-scheduler/src/commands.rs
+++ b/crates/tallygauge-scheduler/src/commands.rs
@@ -50,7 +50,6 @@
                     self.start_waits.record(wait_s);
                 }
                 attempt.start_sent |= is_start;
-                attempt.start_sent_in_response |= is_start;
                 attempt.awaiting_acknowledgement = true;
                 worker.acknowledgement_due = true;
             }
--- a/crates/tallygauge-scheduler/src/confirmation_backlog.rs
+++ b/crates/tallygauge-scheduler/src/confirmation_backlog.rs
@@ -45,7 +45,7 @@
 
 impl ConfirmationBacklog {
     fn add_attempt(&mut self, attempt: &Attempt, now: f64) {
-        self.indeterminate_starts += usize::from(attempt.start_indeterminate_since.is_some());
+        self.indeterminate_starts += usize::from(attempt.start_undelivered);
         if attempt.is_cancelled()
             && let Some(stop) = attempt.stop
         {
--- a/crates/tallygauge-scheduler/src/direct_messages.rs
+++ b/crates/tallygauge-scheduler/src/direct_messages.rs
@@ -12,11 +12,6 @@
 /// no further.
 const MAX_BACKOFF_FAILURES: u32 = 4;
 
-/// Maximum fraction of a worker's attempts whose start was sent directly and may still arrive.
-/// Each of them has to be reported until its incarnation ends. The rest is left to attempts that
-/// heartbeat responses start, which can always be cleared.
-const MAX_UNDELIVERED_START_FRACTION: f64 = 0.8;
-
 /// A direct message to a worker.
 #[derive(Debug, Clone)]
 pub struct DirectMessage {
@@ -29,8 +24,6 @@
     /// Commands; empty if the message only carries the fencing token or is a probe
     /// with nothing to execute.
     pub commands: Vec<Command>,
-    /// Numbers of the attempts that the commands start.
-    pub started_attempts: Vec<u64>,
     /// Whether the commands ask the worker for an early heartbeat.
     pub requests_heartbeat: bool,
     /// The worker's newest message when this one was built: a live agent answers
@@ -128,8 +121,8 @@
             }
         };
         let worker = self.workers.get_mut(&machine)?;
-        let mut commands = worker.directly_sendable(due, &self.config);
-        let started_attempts = worker.mark_starts_in_flight(&commands);
+        let mut commands = due;
+        commands.retain(may_send_directly);
         let requests_heartbeat = heartbeat_request.is_some();
         commands.extend(heartbeat_request);
         let is_probe = purpose == MessagePurpose::Probe;
@@ -140,7 +133,6 @@
             endpoint: worker.endpoint.clone(),
             incarnation: worker.addressed_incarnation(),
             commands,
-            started_attempts,
             requests_heartbeat,
             sent_after: worker.message_order.newest,
             is_probe,
@@ -148,14 +140,11 @@
         })
     }
 
-    /// Records that a direct message was answered, or failed (`answered` is false). The
-    /// start commands in a failed message may still be executed, unless the message was
-    /// `never_sent` because no connection was made.
+    /// Records that a direct message was answered, or failed (`answered` is false).
     pub fn record_direct_message_result(
         &mut self,
         message: &DirectMessage,
         answered: bool,
-        never_sent: bool,
         now: f64,
     ) {
         let heartbeat_interval_s = self.config.heartbeat_interval_s;
@@ -184,17 +173,6 @@
             let backoff_s = heartbeat_interval_s * 0.5 * f64::from(1u32 << doublings);
             worker.next_direct_message_at = now + backoff_s;
         }
-        for attempt in &mut worker.attempts {
-            if message.started_attempts.contains(&attempt.number) {
-                attempt.start_messages_in_flight =
-                    attempt.start_messages_in_flight.saturating_sub(1);
-                if !answered && !never_sent && !attempt.is_direct_start_delivered() {
-                    attempt.start_indeterminate_since = Some(now);
-                    self.undelivered_start_records.add(attempt.number);
-                }
-            }
-        }
-        self.release_delivered_attempts(&message.worker, now);
     }
 }
 
@@ -218,21 +196,6 @@
         (is_alive && is_probe_due).then_some(MessagePurpose::Probe)
     }
 
-    /// Number of further starts that may be sent to the worker directly before some of those
-    /// that were sent are answered. None while one that was given up has not been seen on the
-    /// worker: the next would likely be lost as well, and bind its task to the machine.
-    fn direct_start_headroom(&self, config: &Config) -> usize {
-        let is_unseen = |attempt: &Attempt| {
-            attempt.is_start_indeterminate() && attempt.phase == AttemptPhase::Recorded
-        };
-        if self.attempts.iter().any(is_unseen) {
-            return 0;
-        }
-        let limit = config.max_attempts_per_worker as f64 * MAX_UNDELIVERED_START_FRACTION;
-        let undelivered = self.reportable_attempts().filter(|a| a.may_yet_start());
-        (limit as usize).saturating_sub(undelivered.count())
-    }
-
     /// Whether a heartbeat should be requested, or a stop was decided since the last heartbeat.
     fn has_unsent_command(&self) -> bool {
         let mut attempts = self
@@ -250,55 +213,6 @@
             })
     }
 
-    /// Those of the commands that may be sent in a direct message now.
-    fn directly_sendable(&self, commands: Vec<Command>, config: &Config) -> Vec<Command> {
-        let mut starts_left = self.direct_start_headroom(config);
-        let mut sendable = Vec::new();
-        for command in commands {
-            if !Self::may_send_directly(&command) {
-                continue;
-            }
-            if matches!(command, Command::Start { .. }) {
-                if starts_left == 0 {
-                    continue;
-                }
-                starts_left -= 1;
-            }
-            sendable.push(command);
-        }
-        sendable
-    }
-
-    /// Whether a command may be sent in a direct message, of which a copy may be executed again at
-    /// any later time. A start may not: it would run the task again after the worker has
-    /// forgotten the attempt.
-    fn may_send_directly(command: &Command) -> bool {
-        match command {
-            Command::Stop { .. } => true,
-            Command::Start { .. } | Command::Clear { .. } => false,
-        }
-    }
-
-    /// Marks the starts among these commands as sent in a direct message. Returns
-    /// the numbers of their attempts.
-    pub(crate) fn mark_starts_in_flight(&mut self, commands: &[Command]) -> Vec<u64> {
-        let mut started = Vec::new();
-        for command in commands {
-            let Command::Start {
-                attempt: number, ..
-            } = command
-            else {
-                continue;
-            };
-            started.push(*number);
-            for attempt in self.attempts.iter_mut().filter(|a| a.number == *number) {
-                attempt.start_sent = true;
-                attempt.start_messages_in_flight += 1;
-            }
-        }
-        started
-    }
-
     /// The incarnation that a direct message is meant for: that of the newest heartbeat.
     /// Before the first heartbeat, it is the newest incarnation in which an attempt was
     /// placed, or 1 if there is none.
@@ -313,3 +227,13 @@
             .unwrap_or(1)
     }
 }
+
+/// Whether a command may be sent in a direct message, of which a copy may be executed again at any
+/// later time. A start may not: it would run the task again after the worker has forgotten the
+/// attempt.
+fn may_send_directly(command: &Command) -> bool {
+    match command {
+        Command::Stop { .. } => true,
+        Command::Start { .. } | Command::Clear { .. } => false,
+    }
+}
--- a/crates/tallygauge-scheduler/src/heartbeats.rs
+++ b/crates/tallygauge-scheduler/src/heartbeats.rs
@@ -266,7 +266,7 @@
         };
         let lost = self.remove_attempts(machine, |attempt| {
             attempt.phase != AttemptPhase::Planned
-                && !attempt.may_yet_start()
+                && !attempt.start_undelivered
                 && !is_reported(attempt)
         });
         for attempt in lost.iter().filter(|attempt| attempt.occupies_capacity()) {
--- a/crates/tallygauge-scheduler/src/lib.rs
+++ b/crates/tallygauge-scheduler/src/lib.rs
@@ -66,4 +66,3 @@
 pub use tallygauge_health::{Reachability, SequenceMark};
 pub use tallygauge_locality::{ImageLocations, ReplicaSpread};
 pub use tallygauge_priority::{DeclaredRules, MAX_RANK, PriorityRules, RankRule, RulesChange};
-pub use undelivered_start_records::UndeliveredStarts;
--- a/crates/tallygauge-scheduler/src/machines.rs
+++ b/crates/tallygauge-scheduler/src/machines.rs
@@ -324,12 +324,12 @@
 fn has_unconfirmed_cancellation(worker: &Worker, config: &Config, now: f64) -> bool {
     let is_overdue = |attempt: &Attempt, stop: StopDecision| {
         stop.reason == StopReason::Cancelled
-            && (worker.last_heartbeat_at >= stop.at || attempt.is_start_indeterminate())
+            && (worker.last_heartbeat_at >= stop.at || attempt.start_undelivered)
             && now - stop.at > config.cancel_timeout_s * UNCONFIRMED_TIMEOUT_FRACTION
     };
     worker.attempts.iter().any(|attempt| {
         let is_overdue = attempt.stop.is_some_and(|stop| is_overdue(attempt, stop));
-        is_overdue && (attempt.occupies_capacity() || attempt.is_start_indeterminate())
+        is_overdue && (attempt.occupies_capacity() || attempt.start_undelivered)
     })
 }
 
--- a/crates/tallygauge-scheduler/src/mapping/preemption.rs
+++ b/crates/tallygauge-scheduler/src/mapping/preemption.rs
@@ -57,7 +57,7 @@
             && attempt.phase == AttemptPhase::Observed(TaskState::Running)
             && attempt.spec.checkpoint_every_s > 0.0
             && attempt.spec.shape == Shape::Array
-            && !attempt.may_yet_start()
+            && !attempt.start_undelivered
             && !self.minimum_share.claims.contains_key(&attempt.spec.id)
             && !self.is_protected_start(attempt)
     }
--- a/crates/tallygauge-scheduler/src/model/worker.rs
+++ b/crates/tallygauge-scheduler/src/model/worker.rs
@@ -226,7 +226,7 @@
     #[must_use]
     pub fn undelivered_ended_attempts(&self) -> usize {
         self.reportable_attempts()
-            .filter(|attempt| attempt.is_ended() && attempt.may_yet_start())
+            .filter(|attempt| attempt.is_ended() && attempt.start_undelivered)
             .count()
     }
 
--- a/crates/tallygauge-scheduler/src/task_status.rs
+++ b/crates/tallygauge-scheduler/src/task_status.rs
@@ -54,7 +54,7 @@
             !is_reported
                 && is_fenced
                 && is_comparable
-                && !attempt.may_yet_start()
+                && !attempt.start_undelivered
                 && is_lost_when_absent(attempt, source)
         });
         for attempt in absent.iter().filter(|attempt| attempt.occupies_capacity()) {
@@ -102,7 +102,7 @@
                 }));
         }
         attempt.incarnation = incarnation;
-        attempt.record_seen();
+        attempt.start_sent = true;
         if attempt.is_ended() {
             return;
         }
--- a/crates/tallygauge-scheduler/src/undelivered_starts.rs
+++ b/crates/tallygauge-scheduler/src/undelivered_starts.rs
@@ -98,7 +98,7 @@
     /// and quota, because its start may still arrive. A task that is completed ends at once
     /// when it is started again.
     pub(crate) fn must_retain_after_end(&self, attempt: &Attempt, cause: EndCause) -> bool {
-        attempt.may_yet_start() && !self.completes_task(attempt, cause)
+        attempt.start_undelivered && !self.completes_task(attempt, cause)
     }
 
     /// Retains an attempt that has ended. `position` is its index in the attempts of its worker.
@@ -122,47 +122,18 @@
             attempt.running_since = None;
         });
     }
-
-    /// Releases the retained attempts on a machine whose starts can't arrive any more, since
-    /// the message with them was answered or never sent, and requeues their tasks.
-    pub(crate) fn release_delivered_attempts(&mut self, machine: &str, now: f64) {
-        while let Some((position, cause)) = self.next_delivered_attempt(machine) {
-            let Some(worker) = self.workers.get_mut(machine) else {
-                return;
-            };
-            worker.attempts[position].retained_after_end = false;
-            let attempt = worker.attempts[position].clone();
-            self.release_attempt(machine, &attempt, now);
-            self.handle_task_end(now, machine, position, &attempt, cause, false);
-        }
-    }
-
-    fn next_delivered_attempt(&self, machine: &str) -> Option<(usize, EndCause)> {
-        let attempts = &self.workers.get(machine)?.attempts;
-        let is_delivered = |a: &Attempt| a.retained_after_end && !a.may_yet_start();
-        let position = attempts.iter().position(is_delivered)?;
-        match attempts[position].phase {
-            AttemptPhase::Ended(cause) => Some((position, cause)),
-            _ => None,
-        }
-    }
 }
 
 impl Attempt {
-    /// Whether a direct message with its start was given up and may still arrive.
-    pub(crate) fn is_start_indeterminate(&self) -> bool {
-        self.start_indeterminate_since.is_some()
-    }
-
     /// Whether this leader may send its start: it placed the attempt, or the start may arrive
     /// all the same.
     pub(crate) fn may_be_started(&self) -> bool {
-        !self.restored || self.is_start_indeterminate()
+        !self.restored || self.start_undelivered
     }
 
     /// Whether it must be started again on its machine if it was lost there.
     fn can_be_repeated(&self) -> bool {
-        self.may_yet_start() && !self.is_ended() && !self.is_cancelled()
+        self.start_undelivered && !self.is_ended() && !self.is_cancelled()
     }
 
     /// Lets it be started again in this incarnation of its agent, unless its earlier start
@@ -181,13 +152,13 @@
     /// Whether the start of an attempt may still be executed by the agent, although it was
     /// sent at some time before.
     pub(crate) fn start_may_arrive(&self, attempt: &Attempt) -> bool {
-        attempt.may_yet_start() || self.awaits_fencing(attempt)
+        attempt.start_undelivered || self.awaits_fencing(attempt)
     }
 
     /// Whether the start of an attempt may still be executed by the agent, although its
     /// sender has given the message up or has ended.
     pub(crate) fn is_start_indeterminate(&self, attempt: &Attempt) -> bool {
-        attempt.is_start_indeterminate() || self.awaits_fencing(attempt)
+        attempt.start_undelivered || self.awaits_fencing(attempt)
     }
 
     /// Whether the agent may execute the start of an attempt that an earlier leader placed:
@@ -212,7 +183,7 @@
     /// Whether a start of a cancelled attempt was given up and may still arrive.
     pub(crate) fn has_undelivered_cancelled_start(&self) -> bool {
         let mut attempts = self.attempts.iter();
-        attempts.any(|attempt| attempt.is_cancelled() && attempt.is_start_indeterminate())
+        attempts.any(|attempt| attempt.is_cancelled() && attempt.start_undelivered)
     }
 
     /// Whether some attempt occupies capacity on the machine for another reason than that its
@@ -230,8 +201,7 @@
             || attempt.incarnation <= self.last_dead_incarnation;
         let is_unseen = attempt.phase == AttemptPhase::Recorded && attempt.stop.is_some();
         let is_gone = is_past_incarnation || self.has_restarted_since(attempt) || is_unseen;
-        self.awaits_fencing(attempt)
-            || attempt.is_start_indeterminate() && (is_gone || attempt.is_ended())
+        self.awaits_fencing(attempt) || attempt.start_undelivered && (is_gone || attempt.is_ended())
     }
 
     /// Whether its agent has restarted since the attempt was placed, and has not come as far as
--- a/crates/tallygauge-scheduler/src/worker_leases.rs
+++ b/crates/tallygauge-scheduler/src/worker_leases.rs
@@ -76,7 +76,7 @@
     pub(crate) fn must_let_lease_expire(&self, now: f64, config: &Config) -> bool {
         self.attempts.iter().any(|attempt| {
             attempt.phase == AttemptPhase::Recorded
-                && attempt.may_yet_start()
+                && attempt.start_undelivered
                 && attempt.is_cancelled()
                 && attempt.incarnation == self.incarnation
                 && now - attempt.placed_at > config.fencing_timeout_s
--- a/crates/tallygauge/src/direct_messages.rs
+++ b/crates/tallygauge/src/direct_messages.rs
@@ -86,7 +86,6 @@
         machine = message.worker,
         term,
         incarnation = message.incarnation,
-        started_attempts = ?affected.started,
         stopped_attempts = ?affected.stopped,
         requests_heartbeat = affected.requests_heartbeat,
         is_probe = message.is_probe,
@@ -107,7 +106,6 @@
         machine = message.worker,
         term,
         incarnation = message.incarnation,
-        started_attempts = ?message.started_attempts,
         outcome,
         waited_ms = (waited_s * 1000.0) as u64,
         "direct message ended"
@@ -165,8 +163,7 @@
         return DeliveryEffect::Ignored;
     };
     let answered = matches!(outcome, SendOutcome::Answered { .. });
-    let never_sent = matches!(outcome, SendOutcome::NotSent);
-    cluster.record_direct_message_result(message, answered, never_sent, now);
+    cluster.record_direct_message_result(message, answered, now);
     if let SendOutcome::Answered { heartbeat, .. } = outcome
         && heartbeat.machine == message.worker
         && let HeartbeatOutcome::Deposed(higher_term) =
--- a/crates/tallygauge/src/leader/background_loops.rs
+++ b/crates/tallygauge/src/leader/background_loops.rs
@@ -3,7 +3,7 @@
 use super::recovery::{self, RecoveredTerm};
 use crate::{
     cleanup, cloud, controller::Controller, direct_messages, job_watch_loop, leader_records,
-    progress, reconciliation, scheduling_loop, summary, undelivered_starts,
+    progress, reconciliation, scheduling_loop, summary,
 };
 use std::sync::Arc;
 use tallygauge_protocol::state::Condition;
@@ -21,7 +21,6 @@
         progress::commit_completed_jobs(controller, term_condition),
         progress::flush_completion_pages(controller, term_condition),
         cleanup::run(controller, term_condition),
-        undelivered_starts::run(controller, term_condition),
         summary::run(controller),
         leader_records::run(controller, term_condition, records),
         reconciliation::run(controller),
--- a/crates/tallygauge/src/leader/recovery.rs
+++ b/crates/tallygauge/src/leader/recovery.rs
@@ -74,7 +74,7 @@
     let completed = restore_completion_pages(&mut cluster, durable.completion_pages)?;
     restore_active_jobs(&mut cluster, durable.active_jobs, &completed, time)?;
     restore_placements(&mut cluster, durable.placement_batches, time).await?;
-    restore_undelivered_starts(&mut cluster, durable.undelivered_starts, time)?;
+    restore_undelivered_starts(&mut cluster, durable.undelivered_starts)?;
     install_cluster_state(controller, term, cluster, durable.revision);
     Ok(RecoveredTerm {
         revision: durable.revision,
@@ -211,7 +211,6 @@
 fn restore_undelivered_starts(
     cluster: &mut ClusterState,
     rows: Vec<KeyValue>,
-    time: RecoveryTime,
 ) -> Result<(), ReadError> {
     let mut stored = BTreeMap::new();
     for row in rows {
@@ -221,7 +220,7 @@
             stored.insert(name.into(), record);
         }
     }
-    cluster.restore_undelivered_starts(stored, time.now);
+    cluster.restore_undelivered_starts(stored);
     Ok(())
 }
 
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -41,7 +41,6 @@
 pub mod summary;
 pub mod task_counts;
 pub mod unanswered_polls;
-pub mod undelivered_starts;
 pub mod user_api;
 pub mod version_checks;
 pub mod wall_clock;
