Hold the response to a heartbeat that made room until the next start is due

A heartbeat that reports an end frees capacity, but the round that uses it and the write of its placements come after the response: the next start waited for a requested heartbeat, half a second later.

The response now waits until a start is due, the round has placed nothing on the machine, or 0.4 s have passed, four fifths of the least time between two heartbeats of a worker: whatever the worker has to report meanwhile could not have been sent earlier. Only responses to heartbeats that changed something are held, only while tasks wait, and not by a leader that sheds load. Whether the leader may answer (its term, its fence, the worker's lease) is decided when the response leaves, and the commands are built then. A newer heartbeat, a restart of the agent, the end of the machine or of the connection end the hold.

The simulation's workers wait for a response that is held, drop it after 4 s, and send no other heartbeat meanwhile.

--- a/crates/tallygauge-protocol/src/workers.rs
+++ b/crates/tallygauge-protocol/src/workers.rs
@@ -11,6 +11,9 @@
 /// Time for which a worker waits for the response to a heartbeat, seconds.
 pub const HEARTBEAT_RESPONSE_TIMEOUT_S: f64 = 4.0;
 
+/// Minimum time between two heartbeats of a worker, seconds, whatever it has to report.
+pub const MIN_HEARTBEAT_GAP_S: f64 = 0.5;
+
 /// State of a task on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/tallygauge-scheduler/src/cluster_state.rs
+++ b/crates/tallygauge-scheduler/src/cluster_state.rs
@@ -104,6 +104,8 @@
     pub(crate) needs_direct_message: BTreeSet<String>,
     /// Direct messages that have not been answered.
     pub(crate) in_flight_messages: InFlightMessages,
+    /// Number of the last hold of a heartbeat response.
+    pub(crate) last_hold_number: u64,
     /// Durable records of starts in direct messages that were given up.
     pub(crate) undelivered_start_records: UndeliveredStartRecords,
 
@@ -117,6 +119,8 @@
     // Scheduling rounds.
     /// Whether something changed that a scheduling round should consider.
     pub needs_scheduling: bool,
+    /// Number of scheduling rounds of this term so far.
+    pub(crate) rounds_run: u64,
     /// The earliest end of a retry restriction that the last round encountered.
     pub(crate) next_restriction_end: Option<f64>,
     /// Number of attempts of this term that a worker had again after it had been told to forget
@@ -160,10 +164,12 @@
             jobs_with_unsaved_progress: BTreeSet::new(),
             needs_direct_message: BTreeSet::new(),
             in_flight_messages: InFlightMessages::default(),
+            last_hold_number: 0,
             undelivered_start_records: UndeliveredStartRecords::default(),
             capacity_backoff: HashMap::new(),
             demand_history: Vec::new(),
             needs_scheduling: true,
+            rounds_run: 0,
             next_restriction_end: None,
             reappeared_attempts: 0,
             start_waits: StartWaits::default(),
--- a/crates/tallygauge-scheduler/src/heartbeat_requests.rs
+++ b/crates/tallygauge-scheduler/src/heartbeat_requests.rs
@@ -24,13 +24,19 @@
 }
 
 impl Worker {
-    /// Whether the worker should be asked for a heartbeat: starts are due, and no heartbeat is
-    /// expected soon. One is if it was requested already, or if the last response changes what the
-    /// worker reports.
+    /// Whether the worker should be asked for a heartbeat: starts are due, no response is held that
+    /// can carry them, and no heartbeat is expected soon. One is if it was requested already, or if
+    /// the last response changes what the worker reports.
     pub(crate) fn needs_heartbeat_request(&self) -> bool {
         !self.heartbeat_requested
             && !self.acknowledgement_due
-            && self.unsent_starts().next().is_some()
+            && self.held_response.is_none()
+            && self.has_unsent_start()
+    }
+
+    /// Whether a start is due that was not sent yet.
+    pub(crate) fn has_unsent_start(&self) -> bool {
+        self.unsent_starts().next().is_some()
     }
 
     /// Attempts of the current incarnation whose start is due and was not sent yet.
--- a/crates/tallygauge-scheduler/src/heartbeats.rs
+++ b/crates/tallygauge-scheduler/src/heartbeats.rs
@@ -180,6 +180,7 @@
         worker.agent_restarted = false;
         if source == HeartbeatSource::Periodic {
             worker.heartbeat_requested = false;
+            worker.held_response = None;
         }
         if worker.reachability.needs_probe() {
             self.needs_direct_message.insert(heartbeat.machine.clone());
@@ -300,6 +301,7 @@
         self.fencing_token = fencing_token;
         self.direct_failures = 0;
         self.orphaned_attempts.clear();
+        self.held_response = None;
     }
 }
 
--- a/crates/tallygauge-scheduler/src/mapping/mod.rs
+++ b/crates/tallygauge-scheduler/src/mapping/mod.rs
@@ -138,6 +138,7 @@
             (round.planned_starts(), round.planned_stops())
         };
         self.next_restriction_end = next_restriction_end;
+        self.rounds_run += 1;
         for stop in &stops {
             self.preempt(stop, now);
         }
--- a/crates/tallygauge-scheduler/src/model/worker.rs
+++ b/crates/tallygauge-scheduler/src/model/worker.rs
@@ -111,6 +111,8 @@
     pub direct_message_in_flight: bool,
     /// Whether it was asked for a heartbeat since the last periodic one.
     pub heartbeat_requested: bool,
+    /// Number of the hold of the response to its last periodic heartbeat, while that is held.
+    pub held_response: Option<u64>,
     /// Number of consecutive direct messages that it did not answer.
     pub direct_failures: u32,
     /// No direct message is sent to it before this time.
@@ -159,6 +161,7 @@
             return_sent: false,
             direct_message_in_flight: false,
             heartbeat_requested: false,
+            held_response: None,
             direct_failures: 0,
             next_direct_message_at: f64::NEG_INFINITY,
             idle_since: now,
--- a/crates/tallygauge-sim/src/exchanges.rs
+++ b/crates/tallygauge-sim/src/exchanges.rs
@@ -130,7 +130,7 @@
     }
 
     /// Delivers a worker's heartbeat to a controller and returns its reply.
-    pub(crate) fn send_heartbeat(
+    pub(crate) async fn send_heartbeat(
         &self,
         controller: &Controller,
         worker: &str,
@@ -143,7 +143,7 @@
             path: "/checkin",
             body,
         });
-        let reply = handle_heartbeat(controller, body);
+        let reply = handle_heartbeat(controller, body).await;
         let (status, body) = status_and_body(&reply);
         self.record_response(number, status, &body);
         reply
--- a/crates/tallygauge-sim/src/faults.rs
+++ b/crates/tallygauge-sim/src/faults.rs
@@ -6,6 +6,7 @@
     repeated_requests::RepeatedRequests,
     state::DelayedMessage,
     store::TRANSACTION_PATH,
+    worker_agent::poll_or_spawn,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
@@ -177,7 +178,7 @@
     }
 
     /// Delivers the duplicates that are due.
-    pub(crate) fn deliver_delayed_heartbeats(&self, now: f64) {
+    pub(crate) fn deliver_delayed_heartbeats(self: &Arc<Self>, now: f64) {
         let due: Vec<Vec<u8>> = {
             let mut state = self.state.lock().unwrap();
             let heartbeats = &mut state.delayed_heartbeats;
@@ -189,7 +190,7 @@
 
     /// Delivers the captured heartbeats to every connected controller that is not paused,
     /// and discards them. Returns their number.
-    pub fn replay_captured_heartbeats(&self) -> usize {
+    pub fn replay_captured_heartbeats(self: &Arc<Self>) -> usize {
         let captured = std::mem::take(&mut self.state.lock().unwrap().captured_heartbeats);
         self.deliver_to_all_controllers(&captured);
         captured.len()
@@ -197,7 +198,7 @@
 
     /// Delivers heartbeats to every connected controller that is not paused, and ignores the
     /// replies.
-    fn deliver_to_all_controllers(&self, heartbeats: &[Vec<u8>]) {
+    fn deliver_to_all_controllers(self: &Arc<Self>, heartbeats: &[Vec<u8>]) {
         if heartbeats.is_empty() {
             return;
         }
@@ -210,7 +211,13 @@
             .filter(|controller| !self.is_paused(&controller.settings.node_name));
         for controller in running {
             for body in heartbeats {
-                let _ = self.send_heartbeat(controller, DUPLICATE_SENDER, body);
+                let (simulation, controller) = (self.clone(), controller.clone());
+                let body = body.clone();
+                poll_or_spawn(async move {
+                    let _ = simulation
+                        .send_heartbeat(&controller, DUPLICATE_SENDER, &body)
+                        .await;
+                });
             }
         }
     }
--- a/crates/tallygauge-sim/src/machines.rs
+++ b/crates/tallygauge-sim/src/machines.rs
@@ -91,6 +91,8 @@
     /// Whether its tasks, its incarnation or its fencing token have changed since its last
     /// heartbeat, so that it sends the next one early.
     pub(crate) has_news: bool,
+    /// Number of the heartbeat whose response it waits for, if any. It sends no other meanwhile.
+    pub(crate) heartbeat_in_flight: Option<u64>,
     /// Partitioned from all controllers: neither sends heartbeats nor receives commands, but
     /// keeps running its tasks.
     pub(crate) partitioned: bool,
@@ -117,6 +119,7 @@
             lease_renewed_at: now,
             tasks: Vec::new(),
             has_news: false,
+            heartbeat_in_flight: None,
             partitioned: false,
             inbound_blocked: false,
             outbound_blocked: false,
@@ -134,6 +137,7 @@
         self.fencing_token = 0;
         self.lease_renewed_at = now;
         self.has_news = true;
+        self.heartbeat_in_flight = None;
     }
 
     /// Accepts the fencing token of a message.
@@ -179,6 +183,7 @@
             self.incarnation += 1;
             self.lease_renewed_at = now;
             self.has_news = true;
+            self.heartbeat_in_flight = None;
         }
     }
 }
--- a/crates/tallygauge-sim/src/state.rs
+++ b/crates/tallygauge-sim/src/state.rs
@@ -87,6 +87,8 @@
     pub(crate) delayed_commands: Vec<DelayedCommands>,
     /// Duplicates of heartbeats that are not delivered yet.
     pub(crate) delayed_heartbeats: Vec<DelayedMessage>,
+    /// Number of the last heartbeat that a worker sent.
+    pub(crate) last_heartbeat_number: u64,
     /// Copies of requests that were executed and answered.
     pub(crate) repeated_requests: RepeatedRequests,
     /// Copies of heartbeats for [`crate::Simulation::replay_captured_heartbeats`].
@@ -129,6 +131,7 @@
             endpoints: HashMap::new(),
             delayed_commands: Vec::new(),
             delayed_heartbeats: Vec::new(),
+            last_heartbeat_number: 0,
             repeated_requests: RepeatedRequests::default(),
             captured_heartbeats: Vec::new(),
             cancelled_at: HashMap::new(),
--- a/crates/tallygauge-sim/src/worker_agent.rs
+++ b/crates/tallygauge-sim/src/worker_agent.rs
@@ -7,11 +7,14 @@
     state::{DelayedCommands, DelayedMessage},
     transport::{Response, hang, ok, status},
 };
+use futures_util::FutureExt;
 use rand::RngExt;
 use serde_json::{Value, json};
 use std::{collections::HashMap, sync::Arc, time::Duration};
 use tallygauge::{controller::Controller, worker_api::HeartbeatReply};
-use tallygauge_protocol::workers::{DirectCommands, HeartbeatResponse};
+use tallygauge_protocol::workers::{
+    DirectCommands, HEARTBEAT_RESPONSE_TIMEOUT_S, HeartbeatResponse,
+};
 use tallygauge_store::http::HttpResult;
 
 /// Interval between the steps in which all machines and workers advance.
@@ -26,6 +29,8 @@
 /// A heartbeat that is about to be sent.
 struct OutgoingHeartbeat {
     worker: String,
+    /// Number of the heartbeat, unique in the simulation.
+    number: u64,
     /// Index of the receiving controller, modulo the number of controllers.
     controller_index: usize,
     body: Vec<u8>,
@@ -53,25 +58,62 @@
             self.deliver_delayed_heartbeats(now);
             for heartbeat in heartbeats {
                 self.schedule_duplicate(now, &heartbeat.body);
-                self.exchange_heartbeat(now, &heartbeat);
+                self.start_exchange(now, heartbeat);
             }
         }
     }
 
+    /// Starts a heartbeat's exchange, which goes on by itself if the response is held.
+    fn start_exchange(self: &Arc<Self>, now: f64, heartbeat: OutgoingHeartbeat) {
+        let simulation = self.clone();
+        let exchange = async move { simulation.exchange_heartbeat(now, &heartbeat).await };
+        poll_or_spawn(exchange);
+    }
+
     /// Sends a heartbeat to the worker's controller. The worker applies the response if the
     /// heartbeat is accepted, and switches to the next controller otherwise.
-    fn exchange_heartbeat(&self, now: f64, heartbeat: &OutgoingHeartbeat) {
+    async fn exchange_heartbeat(self: &Arc<Self>, sent_at: f64, heartbeat: &OutgoingHeartbeat) {
         let worker = &heartbeat.worker;
-        let controller = self.reachable_controller(worker, heartbeat.controller_index);
-        let reply = controller.map(|c| self.send_heartbeat(&c, worker, &heartbeat.body));
+        let reply = match self.reachable_controller(worker, heartbeat.controller_index) {
+            Some(controller) => self.await_reply(&controller, worker, &heartbeat.body).await,
+            None => None,
+        };
         let mut state = self.state.lock().unwrap();
+        let Some(waiting) = state.workers.get_mut(worker) else {
+            return;
+        };
+        let number = Some(heartbeat.number);
+        if waiting
+            .heartbeat_in_flight
+            .take_if(|n| Some(*n) == number)
+            .is_none()
+        {
+            return;
+        }
         if let Some(HeartbeatReply::Accepted(response)) = reply {
-            state.apply_heartbeat_response(now, worker, &response);
-        } else if let Some(worker) = state.workers.get_mut(worker) {
-            worker.controller_index += 1;
+            state.apply_heartbeat_response(sent_at, worker, &response);
+        } else {
+            waiting.controller_index += 1;
         }
     }
 
+    /// The reply of a controller to a heartbeat; `None` if it ends or pauses before it has replied,
+    /// or the worker stops waiting.
+    async fn await_reply(
+        self: &Arc<Self>,
+        controller: &Arc<Controller>,
+        worker: &str,
+        body: &[u8],
+    ) -> Option<HeartbeatReply> {
+        let reply = self.send_heartbeat(controller, worker, body);
+        let reply = self.run_on(&controller.settings.node_name, reply);
+        let timeout = Duration::from_secs_f64(HEARTBEAT_RESPONSE_TIMEOUT_S);
+        let reply = tokio::time::timeout(timeout, reply).await.ok()?;
+        let controllers = self.controllers.lock().unwrap();
+        let mut running = controllers.iter().flatten();
+        running.any(|c| Arc::ptr_eq(c, controller)).then_some(reply)
+    }
+
     /// The controller with this index (modulo their number), if it is connected, not paused
     /// and the worker can reach it.
     fn reachable_controller(&self, worker: &str, index: usize) -> Option<Arc<Controller>> {
@@ -141,6 +183,14 @@
     }
 }
 
+/// Polls a future once, and spawns it if it is not ready: what needs no wait is done in order.
+pub(crate) fn poll_or_spawn(future: impl Future<Output = ()> + Send + 'static) {
+    let mut future = Box::pin(future);
+    if future.as_mut().now_or_never().is_none() {
+        tokio::spawn(future);
+    }
+}
+
 impl SimState {
     /// Returns the heartbeats that are due, and sets in `last_heartbeat_at` when the last ones of
     /// their workers were sent.
@@ -160,14 +210,21 @@
         };
         let senders = self.workers.iter();
         let senders: Vec<String> = senders
-            .filter(|(name, worker)| worker.can_send() && is_due(name, worker))
+            .filter(|(name, worker)| {
+                worker.can_send() && worker.heartbeat_in_flight.is_none() && is_due(name, worker)
+            })
             .map(|(name, _)| name.clone())
             .collect();
         let heartbeat_of = |worker: String| {
             last_heartbeat_at.insert(worker.clone(), now);
             let body = self.next_heartbeat(&worker).unwrap();
+            self.last_heartbeat_number += 1;
+            let number = self.last_heartbeat_number;
+            let sender = self.workers.get_mut(&worker).unwrap();
+            sender.heartbeat_in_flight = Some(number);
             OutgoingHeartbeat {
-                controller_index: self.workers[&worker].controller_index,
+                controller_index: sender.controller_index,
+                number,
                 worker,
                 body: body.to_string().into_bytes(),
             }
@@ -205,7 +262,8 @@
         response: &HeartbeatResponse,
     ) {
         let worker = self.workers.get_mut(name);
-        let Some(worker) = worker.filter(|worker| !worker.inbound_blocked) else {
+        let Some(worker) = worker.filter(|worker| !worker.inbound_blocked && !worker.partitioned)
+        else {
             return;
         };
         if response.token < worker.fencing_token {
--- a/crates/tallygauge-sim/tests/failover.rs
+++ b/crates/tallygauge-sim/tests/failover.rs
@@ -132,13 +132,14 @@
     sleep_s(controller_a.fencing_timeout_s() * 0.5).await;
     assert!(
         matches!(
-            handle_heartbeat(&controller_a, heartbeat),
+            handle_heartbeat(&controller_a, heartbeat).await,
             HeartbeatReply::Accepted(_)
         ),
         "heartbeats are refused before the fencing timeout"
     );
     assert!(
         eventually(60.0, async || handle_heartbeat(&controller_a, heartbeat)
+            .await
             == HeartbeatReply::Unavailable)
         .await
     );
@@ -176,17 +177,17 @@
 async fn follower_refuses_heartbeats_before_parsing_them() {
     let (_simulation, controller_a, _task) = start_with_leader().await;
     assert!(matches!(
-        handle_heartbeat(&controller_a, b"{"),
+        handle_heartbeat(&controller_a, b"{").await,
         HeartbeatReply::Malformed(_)
     ));
     controller_a.step_down("requested by the test");
     assert_eq!(
-        handle_heartbeat(&controller_a, b"{"),
+        handle_heartbeat(&controller_a, b"{").await,
         HeartbeatReply::Unavailable
     );
     controller_a.observe_term(99, Some("n-b"));
     assert!(
-        matches!(handle_heartbeat(&controller_a, b"{"), HeartbeatReply::Redirected(r) if r.leader.as_deref() == Some("n-b"))
+        matches!(handle_heartbeat(&controller_a, b"{").await, HeartbeatReply::Redirected(r) if r.leader.as_deref() == Some("n-b"))
     );
 }
 
--- a/crates/tallygauge-sim/tests/user_requests.rs
+++ b/crates/tallygauge-sim/tests/user_requests.rs
@@ -196,7 +196,7 @@
             503
         );
         assert!(matches!(
-            handle_heartbeat(&controller_a, b"{\"bench\":\"x\""),
+            handle_heartbeat(&controller_a, b"{\"bench\":\"x\"").await,
             HeartbeatReply::Malformed(_)
         ));
     }
--- a/crates/tallygauge/src/controller.rs
+++ b/crates/tallygauge/src/controller.rs
@@ -93,6 +93,9 @@
     pub wake_completions: Notify,
     /// Wakes the loop that rents machines.
     pub wake_rentals: Notify,
+    /// Notified after each scheduling round and whenever placements were decided, which held
+    /// heartbeat responses wait for.
+    pub starts_changed: Notify,
     /// Relays users' requests to other controllers.
     pub relay: PeerRelay,
     /// Jobs whose polls have not been answered yet.
@@ -141,6 +144,7 @@
             wake_scheduler: Notify::new(),
             wake_completions: Notify::new(),
             wake_rentals: Notify::new(),
+            starts_changed: Notify::new(),
             relay: PeerRelay::default(),
             unanswered_polls: UnansweredPolls::default(),
             job_refresh: JobRefresh::default(),
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod direct_messages;
 mod event_log;
 pub mod fairness_summary;
+mod held_responses;
 pub mod job_cache;
 pub mod job_watch;
 pub mod job_watch_loop;
--- a/crates/tallygauge/src/placements.rs
+++ b/crates/tallygauge/src/placements.rs
@@ -142,6 +142,7 @@
         }
     });
     tracing::debug!(batch = &*batch.name, committed, "placement batch decided");
+    controller.starts_changed.notify_waiters();
     if !committed {
         controller.wake_scheduler.notify_one();
     }
--- a/crates/tallygauge/src/scheduling_loop.rs
+++ b/crates/tallygauge/src/scheduling_loop.rs
@@ -72,6 +72,7 @@
         let round_s = controller.now() - now;
         controller.load.record_round(round_s);
         log_events(controller);
+        controller.starts_changed.notify_waiters();
         // Preemptions depend on nothing durable, so they are sent before placements are stored.
         direct_messages::send_direct_messages(controller);
         placements.push(batches);
--- a/crates/tallygauge/src/server.rs
+++ b/crates/tallygauge/src/server.rs
@@ -75,7 +75,7 @@
             None => error_response(405, "no such request about jobs"),
         },
         ["checkin"] if is_post => {
-            heartbeat_response(&worker_api::handle_heartbeat(&controller, &body))
+            heartbeat_response(&worker_api::handle_heartbeat(&controller, &body).await)
         }
         ["ready"] if is_get => {
             if is_ready(&controller) {
--- a/crates/tallygauge/src/summary.rs
+++ b/crates/tallygauge/src/summary.rs
@@ -85,6 +85,7 @@
         pending_returns = backlog.pending_returns,
         oldest_return_s = backlog.oldest_return_s as u64,
         requested_heartbeats = cluster.requested_heartbeats(),
+        held_responses = cluster.held_responses(),
         starts_sent = start_waits.count,
         start_wait_median_ms = start_waits.median_ms,
         start_wait_p90_ms = start_waits.p90_ms,
--- a/crates/tallygauge/src/worker_api.rs
+++ b/crates/tallygauge/src/worker_api.rs
@@ -1,8 +1,11 @@
 //! The HTTP interface for workers: heartbeats, which workers send to the leader.
 
-use crate::{command_log::AffectedAttempts, controller::Controller, leadership::Leadership};
+use crate::{
+    command_log::AffectedAttempts, controller::Controller, held_responses::Hold,
+    leadership::Leadership,
+};
 use tallygauge_protocol::workers::{Heartbeat, HeartbeatResponse, Redirect};
-use tallygauge_scheduler::{HeartbeatOutcome, HeartbeatSource};
+use tallygauge_scheduler::{HeartbeatOutcome, HeartbeatSource, HeldResponse};
 use tallygauge_store::is_first_occurrence;
 
 /// Time without any heartbeat after which the leader suspects that workers cannot reach it
@@ -43,13 +46,14 @@
     CancellationUnconfirmed,
 }
 
-/// Outcome of processing a heartbeat on this controller.
+/// Outcome of a heartbeat on this controller, before it is answered.
 enum HeartbeatEffect {
-    /// The heartbeat was applied to the cluster state. There is no response if the worker's
-    /// lease must not be renewed. `needs_scheduling` says whether the scheduling loop has to
+    /// The heartbeat was applied to the cluster state of the leader of this term. The response may
+    /// be held if `held` is present. `needs_scheduling` says whether the scheduling loop has to
     /// process the change.
     Applied {
-        response: Option<HeartbeatResponse>,
+        term: u64,
+        held: Option<HeldResponse>,
         needs_scheduling: bool,
     },
     /// The leader must not accept the heartbeat: the reply is 503.
@@ -94,8 +98,9 @@
     })
 }
 
-/// `POST /checkin`: processes a worker's heartbeat.
-pub fn handle_heartbeat(controller: &Controller, body: &[u8]) -> HeartbeatReply {
+/// `POST /checkin`: processes a worker's heartbeat. The reply may be held for a moment, so that it
+/// carries starts that are about to become due.
+pub async fn handle_heartbeat(controller: &Controller, body: &[u8]) -> HeartbeatReply {
     // A follower does not parse the body, to keep redirects cheap: when a leader fails, all
     // workers send their heartbeats to the followers at the same time.
     if controller.leadership.lock().is_none() {
@@ -107,17 +112,20 @@
     };
     match apply_heartbeat(controller, &heartbeat) {
         HeartbeatEffect::Applied {
-            response,
+            term,
+            held,
             needs_scheduling,
         } => {
             if needs_scheduling {
                 controller.wake_scheduler.notify_one();
                 controller.wake_completions.notify_one();
             }
-            response.map_or_else(
-                || refuse(&heartbeat, RefusalReason::CancellationUnconfirmed),
-                HeartbeatReply::Accepted,
-            )
+            if let Some(held) = held
+                && !Hold::new(controller, held).wait().await
+            {
+                return refuse(&heartbeat, RefusalReason::OutOfDate);
+            }
+            respond(controller, term, &heartbeat)
         }
         HeartbeatEffect::Refused(reason) => refuse(&heartbeat, reason),
         HeartbeatEffect::Superseded(higher_term) => {
@@ -141,10 +149,11 @@
     })
 }
 
-/// Applies a heartbeat to the cluster state if this controller is the leader, and builds
-/// the response.
+/// Applies a heartbeat to the cluster state if this controller is the leader, and decides whether
+/// the response is held.
 fn apply_heartbeat(controller: &Controller, heartbeat: &Heartbeat) -> HeartbeatEffect {
     let (now, fencing_timeout_s) = (controller.now(), controller.fencing_timeout_s());
+    let may_hold = !controller.load.should_shed_user_load(now);
     let mut leadership = controller.leadership.lock();
     let Some(leadership) = leadership.as_mut() else {
         return HeartbeatEffect::NotLeader;
@@ -171,24 +180,45 @@
     }
     leadership.last_worker_heartbeat_at = now;
     let needs_scheduling = std::mem::take(&mut cluster.needs_scheduling);
-    let may_renew_lease = cluster.may_renew_lease(&heartbeat.machine, now);
-    let response = may_renew_lease.then(|| {
-        let commands = cluster.commands(&heartbeat.machine, now);
-        cluster.record_heartbeat_response(&heartbeat.machine, &commands, now);
-        HeartbeatResponse {
-            token: leadership.term,
-            commands,
-        }
-    });
-    if let Some(response) = &response {
-        log_commands(heartbeat, response);
-    }
+    let held = if needs_scheduling && may_hold {
+        cluster.hold_response(heartbeat, now)
+    } else {
+        None
+    };
     HeartbeatEffect::Applied {
-        response,
+        term: leadership.term,
+        held,
         needs_scheduling,
     }
 }
 
+/// The reply to a heartbeat that was applied in this term. All that allows a response is checked
+/// here, since the response may have been held.
+fn respond(controller: &Controller, term: u64, heartbeat: &Heartbeat) -> HeartbeatReply {
+    let (now, fencing_timeout_s) = (controller.now(), controller.fencing_timeout_s());
+    let mut leadership = controller.leadership.lock();
+    let Some(leadership) = leadership.as_mut().filter(|own| own.term == term) else {
+        return refuse(heartbeat, RefusalReason::Fenced);
+    };
+    if leadership.is_fenced(now, fencing_timeout_s) {
+        return refuse(heartbeat, RefusalReason::Fenced);
+    }
+    let Some(cluster) = leadership.cluster.as_mut() else {
+        return refuse(heartbeat, RefusalReason::Fenced);
+    };
+    if !cluster.may_renew_lease(&heartbeat.machine, now) {
+        return refuse(heartbeat, RefusalReason::CancellationUnconfirmed);
+    }
+    let commands = cluster.commands(&heartbeat.machine, now);
+    cluster.record_heartbeat_response(&heartbeat.machine, &commands, now);
+    let response = HeartbeatResponse {
+        token: term,
+        commands,
+    };
+    log_commands(heartbeat, &response);
+    HeartbeatReply::Accepted(response)
+}
+
 /// Logs the commands in the response to a heartbeat, if there are any.
 fn log_commands(heartbeat: &Heartbeat, response: &HeartbeatResponse) {
     if response.commands.is_empty() || !tracing::enabled!(tracing::Level::DEBUG) {
