Request a heartbeat also after a response that carried commands

Cause: no heartbeat was requested while the last response carried a start or a clear, since the worker was taken to report what changed at once.

Now every start that is due and can't go out with a held response requests a heartbeat, once between two heartbeats.

--- a/crates/tallygauge-scheduler/src/heartbeat_requests.rs
+++ b/crates/tallygauge-scheduler/src/heartbeat_requests.rs
@@ -25,13 +25,9 @@
 
 impl Worker {
     /// Whether the worker should be asked for a heartbeat: starts are due, no response is held that
-    /// can carry them, and no heartbeat is expected soon. One is if it was requested already, or if
-    /// the last response changes what the worker reports.
+    /// can carry them, and none was requested since its last heartbeat.
     pub(crate) fn needs_heartbeat_request(&self) -> bool {
-        !self.heartbeat_requested
-            && !self.acknowledgement_due
-            && self.held_response.is_none()
-            && self.has_unsent_start()
+        !self.heartbeat_requested && self.held_response.is_none() && self.has_unsent_start()
     }
 
     /// Whether a start is due that was not sent yet.
