--- a/crates/tallygauge-scheduler/src/cluster_state.rs
+++ b/crates/tallygauge-scheduler/src/cluster_state.rs
@@ -106,7 +106,7 @@
     pub(crate) in_flight_messages: InFlightMessages,
     /// Number of the last hold of a heartbeat response.
     pub(crate) last_hold_number: u64,
-    /// Durable records of starts in direct messages that were given up.
+    /// Records by leaders of earlier versions of direct starts that were given up.
     pub(crate) undelivered_start_records: UndeliveredStartRecords,
 
     // Demand for machines.
--- a/crates/tallygauge-scheduler/src/commands.rs
+++ b/crates/tallygauge-scheduler/src/commands.rs
@@ -1,5 +1,5 @@
-//! Commands to workers: start, stop or forget an attempt. They are sent in heartbeat
-//! responses and in direct messages.
+//! Commands to workers: start, stop or forget an attempt. Heartbeat responses carry all of them,
+//! direct messages only stops.
 
 use crate::{cluster_state::ClusterState, model::*};
 use tallygauge_protocol::workers::{Command, TaskState};
--- a/crates/tallygauge-scheduler/src/direct_messages.rs
+++ b/crates/tallygauge-scheduler/src/direct_messages.rs
@@ -1,5 +1,5 @@
 //! Direct messages to workers, between their heartbeats: which are due, what they carry, and
-//! what follows from their outcomes.
+//! what follows from their outcomes. A copy of a message may be executed at any later time.
 
 use crate::{cluster_state::ClusterState, model::*};
 use tallygauge_health::{Evidence, SequenceMark};
--- a/crates/tallygauge-scheduler/src/events.rs
+++ b/crates/tallygauge-scheduler/src/events.rs
@@ -68,7 +68,7 @@
         task: String,
         /// Name of the machine that it was on.
         machine: String,
-        /// Whether a direct message with its start may still arrive at the machine.
+        /// Whether its start, sent by a leader of an earlier version, may still arrive at the machine.
         start_undelivered: bool,
     },
     /// A heartbeat reported an attempt for the first time.
--- a/crates/tallygauge-scheduler/src/model/attempt.rs
+++ b/crates/tallygauge-scheduler/src/model/attempt.rs
@@ -98,7 +98,7 @@
     pub restored: bool,
     /// When this leader learnt that its placement is durable.
     pub committed_at: Option<f64>,
-    /// Whether its start command was sent, in a heartbeat response or a direct message.
+    /// Whether its start command was sent, or a worker has the attempt.
     pub start_sent: bool,
     /// Whether a leader of an earlier version sent its start in a direct message that was given
     /// up. The message may arrive for as long as the machine exists. The worker must not be told
--- a/crates/tallygauge-scheduler/src/model/records.rs
+++ b/crates/tallygauge-scheduler/src/model/records.rs
@@ -62,7 +62,8 @@
     pub tasks: Vec<PlacedTaskRecord>,
 }
 
-/// Attempts of placement batches whose start a leader sent in a direct message that it gave up.
+/// Attempts of placement batches whose start a leader of an earlier version sent in a direct message
+/// that it gave up.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct UndeliveredStartsRecord {
     /// Numbers of the attempts.
--- a/crates/tallygauge-sim/src/repeated_requests.rs
+++ b/crates/tallygauge-sim/src/repeated_requests.rs
@@ -29,12 +29,20 @@
     pub(crate) body: Vec<u8>,
 }
 
+/// A copy of a request that arrives at a later time.
+#[derive(Debug, Clone)]
+struct ScheduledCopy {
+    /// When it arrives, in seconds of simulated time.
+    due_at: f64,
+    request: AnsweredRequest,
+}
+
 /// Copies of answered requests: those that are kept for a test, and those that are due later.
 pub(crate) struct RepeatedRequests {
     /// Answered direct commands, if they are captured.
     captured: Vec<AnsweredRequest>,
-    /// Copies with the simulated time in seconds at which they arrive.
-    scheduled: Vec<(f64, AnsweredRequest)>,
+    /// Copies that are still to arrive.
+    scheduled: Vec<ScheduledCopy>,
     /// Random number generator of its own, so that scenarios without copies stay as they are.
     random: StdRng,
 }
@@ -76,26 +84,25 @@
             let delay_s = repeated
                 .random
                 .random_range(MIN_DELAY_S..delays.max_delay_s);
-            repeated.scheduled.push((now + delay_s, request));
+            let due_at = now + delay_s;
+            repeated.scheduled.push(ScheduledCopy { due_at, request });
         }
     }
 
     /// Delivers the copies that are due. Those to hung machines wait, and so do those to the store
     /// while it is down.
     pub(crate) fn deliver_due_copies(&self, now: f64) {
-        let due: Vec<AnsweredRequest> = {
+        let due: Vec<ScheduledCopy> = {
             let mut state = self.state.lock().unwrap();
             let scheduled = std::mem::take(&mut state.repeated_requests.scheduled);
             let (due, rest) = scheduled
                 .into_iter()
-                .partition(|(due_at, copy)| *due_at <= now && state.can_deliver_copy(copy));
-            let rest: Vec<(f64, AnsweredRequest)> = rest;
+                .partition(|copy| copy.due_at <= now && state.can_deliver_copy(&copy.request));
             state.repeated_requests.scheduled = rest;
-            let due: Vec<(f64, AnsweredRequest)> = due;
-            due.into_iter().map(|(_, copy)| copy).collect()
+            due
         };
         for copy in &due {
-            self.deliver_copy(copy);
+            self.deliver_copy(&copy.request);
         }
     }
 
--- a/crates/tallygauge-sim/src/transport.rs
+++ b/crates/tallygauge-sim/src/transport.rs
@@ -62,19 +62,7 @@
         path,
         body,
     });
-    let response = match host {
-        STORE_ADDRESS => {
-            simulation
-                .handle_store_request(controller, method, path, body)
-                .await
-        }
-        CLOUD_ADDRESS => Ok(simulation.handle_cloud_request(method, path, body)),
-        worker => {
-            simulation
-                .deliver_direct_commands(controller, worker, body)
-                .await
-        }
-    };
+    let response = execute(simulation, controller, method, host, path, body).await;
     simulation.record_outcome(number, &response);
     let request_sent = AnsweredRequest {
         method: method.clone(),
@@ -87,14 +75,41 @@
         .wait_at_fault_point(controller, &request, true)
         .await;
     let truncated = simulation.state.lock().unwrap().faults.truncate_responses;
-    response.map(|(code, body)| {
-        let kept = if truncated {
-            body.len() / 2
-        } else {
-            body.len()
-        };
-        (code, body.slice(..kept))
-    })
+    response.map(|(code, body)| (code, truncate_if(truncated, &body)))
+}
+
+/// Executes a request at the store, cloud or worker with this address.
+async fn execute(
+    simulation: &Simulation,
+    controller: &str,
+    method: &Method,
+    host: &str,
+    path: &str,
+    body: &[u8],
+) -> HttpResult {
+    match host {
+        STORE_ADDRESS => {
+            simulation
+                .handle_store_request(controller, method, path, body)
+                .await
+        }
+        CLOUD_ADDRESS => Ok(simulation.handle_cloud_request(method, path, body)),
+        worker => {
+            simulation
+                .deliver_direct_commands(controller, worker, body)
+                .await
+        }
+    }
+}
+
+/// The body of a response, or its first half if it is truncated.
+fn truncate_if(truncated: bool, body: &bytes::Bytes) -> bytes::Bytes {
+    let kept = if truncated {
+        body.len() / 2
+    } else {
+        body.len()
+    };
+    body.slice(..kept)
 }
 
 /// Hangs until any client has timed out, like a request that gets no response.
--- a/crates/tallygauge/src/event_log.rs
+++ b/crates/tallygauge/src/event_log.rs
@@ -87,24 +87,9 @@
             start_undelivered,
             "attempt lost with agent incarnation"
         ),
-        AttemptEvent::FirstObserved {
-            task,
-            machine,
-            attempt,
-            state,
-        } => tracing::debug!(task, machine, attempt, ?state, "attempt first observed"),
-        AttemptEvent::Reappeared {
-            task,
-            machine,
-            attempt,
-            state,
-        } => tracing::warn!(
-            task,
-            machine,
-            attempt,
-            ?state,
-            "attempt reappeared, a copy of its start was executed"
-        ),
+        AttemptEvent::FirstObserved { .. } | AttemptEvent::Reappeared { .. } => {
+            log_observation(event);
+        }
         AttemptEvent::Preempted {
             task,
             machine,
@@ -129,6 +114,32 @@
     }
 }
 
+/// Logs an event of an attempt that a worker has reported; no effect for other events.
+fn log_observation(event: &AttemptEvent) {
+    match event {
+        AttemptEvent::FirstObserved {
+            task,
+            machine,
+            attempt,
+            state,
+        } => tracing::debug!(task, machine, attempt, ?state, "attempt first observed"),
+        AttemptEvent::Reappeared {
+            task,
+            machine,
+            attempt,
+            state,
+        } => tracing::warn!(
+            task,
+            machine,
+            attempt,
+            ?state,
+            "attempt reappeared, a copy of its start was executed"
+        ),
+        AttemptEvent::Lost { .. } | AttemptEvent::Preempted { .. } | AttemptEvent::Ended { .. } => {
+        }
+    }
+}
+
 fn log_job_event(event: &JobEvent) {
     match event {
         JobEvent::Stopping {
--- a/crates/tallygauge/src/store_keys.rs
+++ b/crates/tallygauge/src/store_keys.rs
@@ -13,7 +13,7 @@
 /// Prefix of the placement batches.
 pub const PLACEMENT_BATCH_PREFIX: &str = "p/";
 
-/// Prefix of the records of starts in direct messages that were given up.
+/// Prefix of the records of direct starts that leaders of earlier versions gave up.
 pub const UNDELIVERED_STARTS_PREFIX: &str = "u/";
 
 /// Prefix of the records of terminal jobs.
