One parser of task names, one test of a late start, requests told from the commands

- Three places parsed a task's name; tallygauge-protocol has parse_task_name for all of them.
- Whether a direct message requests a heartbeat is told from its commands instead of a field.
- What a message carries is built in one place and not in two matches on its purpose.

--- a/crates/tallygauge-protocol/src/workers.rs
+++ b/crates/tallygauge-protocol/src/workers.rs
@@ -166,14 +166,20 @@
     pub fn is_heartbeat_request(&self) -> bool {
         match self {
             Self::Start { task, .. } => {
-                let number = task.rsplit('/').next().and_then(|n| n.parse().ok());
-                number == Some(MAX_TASKS_PER_JOB)
+                parse_task_name(task).is_some_and(|(_, number)| number == MAX_TASKS_PER_JOB)
             }
             Self::Stop { .. } | Self::Clear { .. } => false,
         }
     }
 }
 
+/// Parses the name of a task into the id of its job and the number of the task.
+#[must_use]
+pub fn parse_task_name(name: &str) -> Option<(&str, u32)> {
+    let (job_id, number) = name.rsplit_once('/')?;
+    Some((job_id, number.parse().ok()?))
+}
+
 /// Response to a heartbeat.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HeartbeatResponse {
--- a/crates/tallygauge-scheduler/src/direct_messages.rs
+++ b/crates/tallygauge-scheduler/src/direct_messages.rs
@@ -24,8 +24,6 @@
     /// Commands; empty if the message only carries the fencing token or is a probe
     /// with nothing to execute.
     pub commands: Vec<Command>,
-    /// Whether the commands ask the worker for an early heartbeat.
-    pub requests_heartbeat: bool,
     /// The worker's newest message when this one was built: a live agent answers
     /// with a later one.
     pub sent_after: SequenceMark,
@@ -33,6 +31,14 @@
     pub is_probe: bool,
 }
 
+impl DirectMessage {
+    /// Whether the commands ask the worker for an early heartbeat.
+    #[must_use]
+    pub fn requests_heartbeat(&self) -> bool {
+        self.commands.iter().any(Command::is_heartbeat_request)
+    }
+}
+
 /// Why a direct message is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum MessagePurpose {
@@ -110,21 +116,11 @@
         purpose: MessagePurpose,
         now: f64,
     ) -> Option<DirectMessage> {
-        let due = match purpose {
+        let commands = match purpose {
             MessagePurpose::Fence => Vec::new(),
-            MessagePurpose::Commands | MessagePurpose::Probe => self.commands(&machine, now),
-        };
-        let heartbeat_request = match purpose {
-            MessagePurpose::Fence => None,
-            MessagePurpose::Commands | MessagePurpose::Probe => {
-                self.take_heartbeat_request(&machine)
-            }
+            MessagePurpose::Commands | MessagePurpose::Probe => self.direct_commands(&machine, now),
         };
         let worker = self.workers.get_mut(&machine)?;
-        let mut commands = due;
-        commands.retain(may_send_directly);
-        let requests_heartbeat = heartbeat_request.is_some();
-        commands.extend(heartbeat_request);
         let is_probe = purpose == MessagePurpose::Probe;
         self.in_flight_messages.add(is_probe);
         worker.direct_message_in_flight = true;
@@ -133,13 +129,21 @@
             endpoint: worker.endpoint.clone(),
             incarnation: worker.addressed_incarnation(),
             commands,
-            requests_heartbeat,
             sent_after: worker.message_order.newest,
             is_probe,
             worker: machine,
         })
     }
 
+    /// Commands that a direct message to a worker carries: stops, and a request for a heartbeat if
+    /// starts wait for one.
+    fn direct_commands(&mut self, machine: &str, now: f64) -> Vec<Command> {
+        let mut commands = self.commands(machine, now);
+        commands.retain(may_send_directly);
+        commands.extend(self.take_heartbeat_request(machine));
+        commands
+    }
+
     /// Records that a direct message was answered, or failed (`answered` is false).
     pub fn record_direct_message_result(
         &mut self,
@@ -155,7 +159,7 @@
             return;
         };
         worker.direct_message_in_flight = false;
-        if message.requests_heartbeat && !answered {
+        if message.requests_heartbeat() && !answered {
             worker.heartbeat_requested = false;
         }
         if answered {
--- a/crates/tallygauge-scheduler/src/task_status.rs
+++ b/crates/tallygauge-scheduler/src/task_status.rs
@@ -8,7 +8,7 @@
     model::*,
 };
 use std::collections::HashMap;
-use tallygauge_protocol::workers::{EndCause, Heartbeat, TaskState, TaskStatus};
+use tallygauge_protocol::workers::{EndCause, Heartbeat, TaskState, TaskStatus, parse_task_name};
 
 /// Lower bound of the fetch rate in estimates of fetch times, in GB/s.
 const MIN_FETCH_GB_PER_S: f64 = 1e-3;
@@ -271,9 +271,3 @@
             })
         })
 }
-
-/// Parses the name of a task on the wire into job id and task number.
-fn parse_task_name(name: &str) -> Option<(&str, u32)> {
-    let (job_id, index) = name.rsplit_once('/')?;
-    Some((job_id, index.parse().ok()?))
-}
--- a/crates/tallygauge-scheduler/src/tests/heartbeat_requests.rs
+++ b/crates/tallygauge-scheduler/src/tests/heartbeat_requests.rs
@@ -1,7 +1,7 @@
 //! Starts go out in heartbeat responses alone, and the heartbeats for them are requested.
 
 use super::*;
-use tallygauge_protocol::users::MAX_TASKS_PER_JOB;
+use tallygauge_protocol::{users::MAX_TASKS_PER_JOB, workers::parse_task_name};
 
 /// A cluster whose machine `la` has a start due for each of two tasks.
 fn cluster_with_due_starts() -> ClusterState {
@@ -21,7 +21,7 @@
 }
 
 fn count_requests(messages: &[DirectMessage]) -> usize {
-    messages.iter().filter(|m| m.requests_heartbeat).count()
+    messages.iter().filter(|m| m.requests_heartbeat()).count()
 }
 
 fn send_periodic_heartbeat(c: &mut ClusterState, sequence: u64, tasks: Vec<TaskStatus>, now: f64) {
@@ -32,7 +32,7 @@
 /// Number of the task that a command names, if it is a start.
 fn started_task_number(command: &Command) -> Option<u32> {
     match command {
-        Command::Start { task, .. } => task.rsplit('/').next()?.parse().ok(),
+        Command::Start { task, .. } => parse_task_name(task).map(|(_, number)| number),
         Command::Stop { .. } | Command::Clear { .. } => None,
     }
 }
--- a/crates/tallygauge-scheduler/src/undelivered_starts.rs
+++ b/crates/tallygauge-scheduler/src/undelivered_starts.rs
@@ -155,12 +155,6 @@
         attempt.start_undelivered || self.awaits_fencing(attempt)
     }
 
-    /// Whether the start of an attempt may still be executed by the agent, although its
-    /// sender has given the message up or has ended.
-    pub(crate) fn is_start_indeterminate(&self, attempt: &Attempt) -> bool {
-        attempt.start_undelivered || self.awaits_fencing(attempt)
-    }
-
     /// Whether the agent may execute the start of an attempt that an earlier leader placed:
     /// until it has shown this leader's fencing token, and again when it has restarted.
     pub(crate) fn awaits_fencing(&self, attempt: &Attempt) -> bool {
@@ -172,7 +166,7 @@
     /// restarted and may have executed the start.
     pub(crate) fn must_end_before_late_start(&self) -> bool {
         self.attempts.iter().any(|attempt| {
-            self.is_start_indeterminate(attempt)
+            self.start_may_arrive(attempt)
                 && attempt.occupies_capacity()
                 && (self.agent_restarted
                     || self.has_restarted_since(attempt)
--- a/crates/tallygauge-sim/src/command_execution.rs
+++ b/crates/tallygauge-sim/src/command_execution.rs
@@ -4,7 +4,7 @@
     CANCEL_TIMEOUT_S, SimState, TaskStart,
     machines::{SimTask, SimWorker, TaskState, job_of_task},
 };
-use tallygauge_protocol::workers::Command;
+use tallygauge_protocol::workers::{Command, parse_task_name};
 
 /// Tolerance of the quota check for rounding errors, in CPUs.
 const QUOTA_TOLERANCE_CPUS: f64 = 1e-6;
@@ -77,12 +77,10 @@
 
     /// Whether the name is that of a task of a job.
     pub(crate) fn is_task_of_a_job(&self, task: &str) -> bool {
-        let shape = self.job_shapes.get(job_of_task(task));
-        let number = task.rsplit('/').next().and_then(|n| n.parse::<u32>().ok());
-        match (shape, number) {
-            (Some(shape), Some(number)) => number < shape.tasks,
-            _ => false,
-        }
+        parse_task_name(task).is_some_and(|(job, number)| {
+            let shape = self.job_shapes.get(job);
+            shape.is_some_and(|shape| number < shape.tasks)
+        })
     }
 
     fn worker_mut(&mut self, name: &str) -> &mut SimWorker {
--- a/crates/tallygauge-sim/src/repeated_requests.rs
+++ b/crates/tallygauge-sim/src/repeated_requests.rs
@@ -74,7 +74,11 @@
         }
         let now = self.now();
         let mut state = self.state.lock().unwrap();
-        let (faults, repeated) = state.faults_and_repeated_requests();
+        let SimState {
+            faults,
+            repeated_requests: repeated,
+            ..
+        } = &mut *state;
         let is_direct = request.host != STORE_ADDRESS && request.host != CLOUD_ADDRESS;
         if faults.capture_commands && is_direct {
             repeated.captured.push(request.clone());
--- a/crates/tallygauge-sim/src/state.rs
+++ b/crates/tallygauge-sim/src/state.rs
@@ -156,13 +156,6 @@
         self.violations.iter().cloned().chain(batches).collect()
     }
 
-    /// The active faults, and the copies of requests, which they determine.
-    pub(crate) fn faults_and_repeated_requests(
-        &mut self,
-    ) -> (&FaultSettings, &mut RepeatedRequests) {
-        (&self.faults, &mut self.repeated_requests)
-    }
-
     /// Address at which a worker accepts direct commands.
     pub(crate) fn endpoint<'a>(&'a self, worker: &'a str) -> &'a str {
         self.endpoints.get(worker).map_or(worker, String::as_str)
