Simulation: commands in a held response are executed when it arrives

A response that is held arrives up to 0.4 s after its heartbeat was sent, but its commands were executed as of the sending, so a start after a cancellation was checked that much too leniently. The lease still counts from the sending, as the workers' protocol says. Copies of heartbeats are handled as part of the controller's process, so that a hold for a copy stops with a paused controller.

--- a/crates/tallygauge-sim/examples/load/worker.rs
+++ b/crates/tallygauge-sim/examples/load/worker.rs
@@ -91,8 +91,9 @@
         };
         self.counts.heartbeats.fetch_add(1, Relaxed);
         let response: HeartbeatResponse = serde_json::from_slice(&body).expect("an answer");
+        let now = self.simulation.now();
         let mut state = self.simulation.state.lock().unwrap();
-        state.apply_heartbeat_response(sent_at, &self.name, &response);
+        state.apply_heartbeat_response(now, sent_at, &self.name, &response);
         Some(if response.commands.is_empty() {
             interval_s
         } else {
--- a/crates/tallygauge-sim/src/faults.rs
+++ b/crates/tallygauge-sim/src/faults.rs
@@ -213,11 +213,12 @@
             for body in heartbeats {
                 let (simulation, controller) = (self.clone(), controller.clone());
                 let body = body.clone();
-                poll_or_spawn(async move {
+                let name = controller.settings.node_name.clone();
+                poll_or_spawn(self.run_on(&name, async move {
                     let _ = simulation
                         .send_heartbeat(&controller, DUPLICATE_SENDER, &body)
                         .await;
-                });
+                }));
             }
         }
     }
--- a/crates/tallygauge-sim/src/worker_agent.rs
+++ b/crates/tallygauge-sim/src/worker_agent.rs
@@ -91,7 +91,7 @@
             return;
         }
         if let Some(HeartbeatReply::Accepted(response)) = reply {
-            state.apply_heartbeat_response(sent_at, worker, &response);
+            state.apply_heartbeat_response(self.now(), sent_at, worker, &response);
         } else {
             waiting.controller_index += 1;
         }
@@ -253,10 +253,11 @@
     }
 
     /// Applies the response to a heartbeat that a worker sent at `sent_at`: renews its lease
-    /// from that time on and executes the commands. Responses that do not reach the worker,
+    /// from that time on and executes the commands now. Responses that do not reach the worker,
     /// or that have an outdated fencing token, are ignored.
     pub fn apply_heartbeat_response(
         &mut self,
+        now: f64,
         sent_at: f64,
         name: &str,
         response: &HeartbeatResponse,
@@ -271,7 +272,7 @@
         }
         worker.accept_token(response.token);
         worker.lease_renewed_at = worker.lease_renewed_at.max(sent_at);
-        self.execute_commands(sent_at, name, &response.commands);
+        self.execute_commands(now, name, &response.commands);
     }
 
     /// Applies direct commands to a worker and returns its response, which contains its
