Review: the explorer ends a hanging machine's tasks with its lease

The trace shows a machine that hung for 21 s, longer than its lease of 18 s: its task was started elsewhere 0.7 s after the lease had run out, which the protocol allows.

--- a/review/lib-2/cases/explore.rs
+++ b/review/lib-2/cases/explore.rs
@@ -47,6 +47,9 @@
     if !setup.wait(15.0, || setup.leader().is_some()) {
         return 2;
     }
+    if let Some(ms) = std::env::var("DELAY_MS").ok().and_then(|ms| ms.parse().ok()) {
+        setup.store.delay_ms.store(ms, Ordering::Relaxed);
+    }
     let until = |setup: &Setup| setup.world.record.now();
     let began = until(&setup);
     let nodes = setup.controllers.client.clone();
--- a/review/lib-2/machines.rs
+++ b/review/lib-2/machines.rs
@@ -278,11 +278,20 @@
         agent.done = done;
     }
 
-    /// The machine executes nothing for a while.
-    pub fn hang(&self, time: Duration) {
+    /// The machine executes nothing for a while. What is on it is over when its lease has run out.
+    pub fn hang(self: &Arc<Self>, time: Duration) {
         let mut agent = self.agent.lock().unwrap();
         let until = Instant::now() + time;
         agent.hangs = Some(until);
+        let (machine, process) = (self.clone(), agent.process);
+        let lease_ends = agent.renewed + self.world.limits.lease;
+        std::thread::spawn(move || {
+            std::thread::sleep(lease_ends.saturating_duration_since(Instant::now()));
+            let mut agent = machine.agent.lock().unwrap();
+            if agent.process == process && agent.hangs == Some(until) && Instant::now() < until {
+                machine.drop_tasks(&mut agent, "lease ran out while the machine hangs");
+            }
+        });
         // A hanging machine does not execute its tasks.
         for task in agent.tasks.values_mut() {
             task.ends += time;
