Review case 5: no task is started after all controllers end while the cloud is out

The machine types are in the controllers' memory alone. Machines that come up report and are answered, but count as without capacity.

--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -2,6 +2,8 @@
 
 mod explore;
 mod forgotten;
+mod left_waiting;
+mod nothing_ran;
 
 use crate::{
     controllers::{Controllers, Deployment},
@@ -19,6 +21,8 @@
 pub fn run(name: &str, folder: &Path, root: &Path, trouble: bool) -> i32 {
     match name {
         "4" => forgotten::run(folder, root, trouble),
+        "6" => left_waiting::run(folder, root, trouble),
+        "5" => nothing_ran::run(folder, root, trouble),
         "explore" => explore::run(folder, root, trouble),
         _ => 2,
     }
@@ -126,6 +130,15 @@
     }
 }
 
+pub fn big_box() -> Kind {
+    Kind {
+        name: "big-box",
+        cores: 64.0,
+        mem_gb: 256.0,
+        boot: Duration::from_secs(50),
+    }
+}
+
 /// An array of tasks that may run anywhere.
 pub fn array(team: &str, pieces: u64, cores: f64, mem_gb: f64, run_s: f64) -> JobInfo {
     JobInfo {
--- a/review/lib-2/machines.rs
+++ b/review/lib-2/machines.rs
@@ -57,6 +57,7 @@
     pub limits: Limits,
     pub jobs: Mutex<HashMap<String, JobInfo>>,
     /// Tasks on machines: name of the task, machines.
+    started: Mutex<std::collections::BTreeSet<String>>,
     on_machine: Mutex<BTreeMap<String, Vec<(String, &'static str)>>>,
     /// Of 1000 reports, those of which a copy arrives late, at any controller.
     pub late_reports: AtomicU64,
@@ -76,6 +77,7 @@
             record,
             limits,
             jobs: Mutex::default(),
+            started: Mutex::default(),
             on_machine: Mutex::default(),
             late_reports: AtomicU64::new(0),
             late_commands: AtomicU64::new(0),
@@ -104,6 +106,9 @@
     fn task_begins(&self, task: &str, machine: &str, site: &'static str, borrowed: bool) {
         *self.starts.lock().unwrap() += 1;
         self.record.line(format!("task {task} is on {machine}"));
+        if let Some((id, _)) = task.split_once('/') {
+            self.started.lock().unwrap().insert(id.to_string());
+        }
         let mut on_machine = self.on_machine.lock().unwrap();
         let machines = on_machine.entry(task.to_string()).or_default();
         machines.push((machine.to_string(), site));
@@ -163,6 +168,11 @@
         }
     }
 
+    /// Whether a task of the job was ever on a machine.
+    pub fn has_started(&self, id: &str) -> bool {
+        self.started.lock().unwrap().contains(id)
+    }
+
     /// Checks that no task of a cancelled job is on a machine after `cancel_s`.
     pub fn check_cancelled(&self) {
         let on_machine = self.on_machine.lock().unwrap();
--- a/review/lib-2/users.rs
+++ b/review/lib-2/users.rs
@@ -7,9 +7,9 @@
 };
 use std::{net::SocketAddr, time::Duration};
 
-/// A submission: of the class `transcode-batch` if a task takes 16 CPUs, else of `exam-rush`.
+/// A submission: of the class `transcode-batch` if a task takes much memory, else of `exam-rush`.
 pub fn spec(id: &str, job: &JobInfo, expected_s: f64) -> String {
-    let (class, urgency, every_s, save_s) = if job.cores >= 16.0 {
+    let (class, urgency, every_s, save_s) = if job.mem_gb >= 8.0 {
         ("transcode-batch", "normal", 15.0, 3.0)
     } else {
         ("exam-rush", "urgent", 0.0, 0.0)
