--- a/review/lib-2/controllers.rs
+++ b/review/lib-2/controllers.rs
@@ -8,8 +8,11 @@
     net::{SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
-    time::Duration,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicI32, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 /// Settings of the deployment that a case may differ in.
@@ -135,12 +138,33 @@
 /// Processes that run now, so that they end with the case whatever happens.
 static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
-/// Ends the case after a while: all processes that it started, and itself with status 2.
+/// The last signal that asked the case to end; 0 if there was none.
+static SIGNAL: AtomicI32 = AtomicI32::new(0);
+
+unsafe extern "C" {
+    fn signal(number: i32, handler: extern "C" fn(i32)) -> usize;
+}
+
+extern "C" fn note_signal(number: i32) {
+    SIGNAL.store(number, Ordering::Relaxed);
+}
+
+/// Ends the case after a while, or when it is interrupted: all processes that it started, and
+/// itself with status 2.
 pub fn end_after(time: Duration) {
+    for number in [1, 2, 15] {
+        // The handler stores a number and nothing else.
+        unsafe { signal(number, note_signal) };
+    }
     std::thread::spawn(move || {
-        std::thread::sleep(time);
-        eprintln!("the case took too long");
-        for process in PROCESSES.lock().unwrap().iter() {
+        let deadline = Instant::now() + time;
+        while Instant::now() < deadline && SIGNAL.load(Ordering::Relaxed) == 0 {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        eprintln!("the case took too long or was interrupted");
+        // Held to the end, so that no other process is started.
+        let processes = PROCESSES.lock().unwrap_or_else(PoisonError::into_inner);
+        for process in processes.iter() {
             let _ = Command::new("kill")
                 .arg("-KILL")
                 .arg(process.to_string())
@@ -254,10 +278,11 @@
     }
 
     pub fn start(&self, node: usize) {
-        let mut running = self.running.lock().unwrap();
+        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
         if running[node].is_some() {
             return;
         }
+        let mut processes = PROCESSES.lock().unwrap_or_else(PoisonError::into_inner);
         let log = File::options()
             .create(true)
             .append(true)
@@ -278,12 +303,12 @@
             .expect("the program, as the deploy file builds it");
         self.record
             .line(format!("controller {node} starts, process {}", child.id()));
-        PROCESSES.lock().unwrap().push(child.id());
+        processes.push(child.id());
         running[node] = Some(child);
     }
 
     fn signal(&self, node: usize, name: &str) {
-        if let Some(child) = &self.running.lock().unwrap()[node] {
+        if let Some(child) = &self.running.lock().unwrap_or_else(PoisonError::into_inner)[node] {
             let _ = Command::new("kill")
                 .arg(name)
                 .arg(child.id().to_string())
@@ -303,10 +328,12 @@
 
     pub fn kill(&self, node: usize) {
         self.record.line(format!("controller {node} is killed"));
-        if let Some(mut child) = self.running.lock().unwrap()[node].take() {
+        if let Some(mut child) =
+            self.running.lock().unwrap_or_else(PoisonError::into_inner)[node].take()
+        {
             PROCESSES
                 .lock()
-                .unwrap()
+                .unwrap_or_else(PoisonError::into_inner)
                 .retain(|process| *process != child.id());
             let _ = child.kill();
             let _ = child.wait();
@@ -315,7 +342,7 @@
 
     /// Controllers that ended by themselves.
     pub fn ended(&self) -> Vec<usize> {
-        let mut running = self.running.lock().unwrap();
+        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
         let mut ended = Vec::new();
         for (node, child) in running.iter_mut().enumerate() {
             if let Some(process) = child
