--- a/review/lib-2/cases/nothing_ran.rs
+++ b/review/lib-2/cases/nothing_ran.rs
@@ -31,7 +31,9 @@
     }
     sleep(1.0);
     if trouble {
-        world.record.line("the cloud answers 503, all controllers end");
+        world
+            .record
+            .line("the cloud answers 503, all controllers end");
         *setup.cloud.is_out.lock().unwrap() = true;
         for node in 0..nodes.len() {
             setup.controllers.kill(node);
@@ -55,12 +57,18 @@
         .values()
         .map(|machine| {
             let (session, token, tasks) = machine.status();
-            format!("{} session {session} token {token} tasks {}", machine.name, tasks.len())
+            format!(
+                "{} session {session} token {token} tasks {}",
+                machine.name,
+                tasks.len()
+            )
         })
         .collect();
     drop(machines);
     let starts = *world.starts.lock().unwrap();
-    world.record.line(format!("machines: {reports:?}; {starts} tasks were started"));
+    world.record.line(format!(
+        "machines: {reports:?}; {starts} tasks were started"
+    ));
     if starts == 0 && !reports.is_empty() {
         world.break_rule("nothing_ran: no task was started".into());
     }
--- a/review/lib-2/http.rs
+++ b/review/lib-2/http.rs
@@ -44,7 +44,11 @@
                         let _ = stream.shutdown(std::net::Shutdown::Both);
                         return;
                     };
-                    if stream.write_all(response(status, &body).as_bytes()).is_err() || close {
+                    if stream
+                        .write_all(response(status, &body).as_bytes())
+                        .is_err()
+                        || close
+                    {
                         return;
                     }
                 }
@@ -145,7 +149,9 @@
     let mut stream = TcpStream::connect_timeout(&address, timeout).ok()?;
     let _ = stream.set_nodelay(true);
     let left = deadline.checked_duration_since(Instant::now())?;
-    stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()?;
+    stream
+        .set_read_timeout(Some(left.max(Duration::from_millis(1))))
+        .ok()?;
     let request = format!(
         "{method} {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
--- a/review/lib-2/json.rs
+++ b/review/lib-2/json.rs
@@ -31,13 +31,6 @@
         }
     }
 
-    pub fn num(&self) -> f64 {
-        match self {
-            Json::Num(text) => text.parse().unwrap_or(0.0),
-            _ => 0.0,
-        }
-    }
-
     pub fn int(&self) -> u64 {
         match self {
             Json::Num(text) => text
@@ -229,7 +222,8 @@
                         b'b' => '\u{8}',
                         b'f' => '\u{c}',
                         b'u' => {
-                            let hex = std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
+                            let hex =
+                                std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
                             self.at += 4;
                             char::from_u32(u32::from_str_radix(hex, 16).ok()?)?
                         }
--- a/review/lib-2/record.rs
+++ b/review/lib-2/record.rs
@@ -1,11 +1,6 @@
 //! The record of a run: what was sent, answered and run, with the seconds since its start.
 
-use std::{
-    fs::File,
-    io::Write,
-    sync::Mutex,
-    time::Instant,
-};
+use std::{fs::File, io::Write, sync::Mutex, time::Instant};
 
 pub struct Record {
     began: Instant,
--- a/review/lib-2/store.rs
+++ b/review/lib-2/store.rs
@@ -120,13 +120,6 @@
         state.rows.get(key).map(|entry| entry.value.clone())
     }
 
-    /// Keys with a prefix.
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let state = self.state.lock().unwrap();
-        let keys = state.rows.keys();
-        keys.filter(|key| key.starts_with(prefix)).cloned().collect()
-    }
-
     fn chance(&self, per_mille: u64) -> bool {
         let mut x = self.random.load(Ordering::Relaxed);
         x ^= x << 13;
@@ -185,7 +178,8 @@
                 let body = Json::parse(&request.body)?;
                 if self.chance(self.late_per_mille.load(Ordering::Relaxed)) {
                     let store = self.clone();
-                    let wait = Duration::from_millis(2000 + store.random.load(Ordering::Relaxed) % 10_000);
+                    let wait =
+                        Duration::from_millis(2000 + store.random.load(Ordering::Relaxed) % 10_000);
                     std::thread::spawn(move || {
                         std::thread::sleep(wait);
                         store.commit(&body);
@@ -271,18 +265,26 @@
             .items()
             .iter()
             .filter(|guard| {
-                let stamp = state.rows.get(guard.get("path").str()).map_or(0, |e| e.stamp);
+                let stamp = state
+                    .rows
+                    .get(guard.get("path").str())
+                    .map_or(0, |e| e.stamp);
                 stamp != guard.get("stamp").int()
             })
             .map(|guard| guard.get("path").clone())
             .collect();
         let writes = body.get("writes").items();
-        let is_dead = |permit: &Json| !permit.is_null() && !state.leases.contains_key(&permit.int());
+        let is_dead =
+            |permit: &Json| !permit.is_null() && !state.leases.contains_key(&permit.int());
         if writes.iter().any(|write| is_dead(write.get("permit"))) {
             return (400, "{\"error\":\"no such lease\"}".into());
         }
         if !failed.is_empty() {
-            let body = format!("{{\"failed\":{},\"epoch\":{}}}", Json::Arr(failed), state.epoch);
+            let body = format!(
+                "{{\"failed\":{},\"epoch\":{}}}",
+                Json::Arr(failed),
+                state.epoch
+            );
             return (409, body);
         }
         if !writes.is_empty() {
@@ -296,7 +298,10 @@
                     state.log.push((stamp, key, None));
                 }
             } else {
-                let (key, value) = (write.get("set").str().to_string(), write.get("value").clone());
+                let (key, value) = (
+                    write.get("set").str().to_string(),
+                    write.get("value").clone(),
+                );
                 let permit = write.get("permit");
                 let permit = (!permit.is_null()).then(|| permit.int());
                 state.log.push((stamp, key.clone(), Some(value.clone())));
@@ -340,7 +345,11 @@
                     })
                     .collect();
                 if !news.is_empty() || Instant::now() >= deadline {
-                    let body = format!("{{\"epoch\":{},\"news\":[{}]}}", state.epoch, news.join(","));
+                    let body = format!(
+                        "{{\"epoch\":{},\"news\":[{}]}}",
+                        state.epoch,
+                        news.join(",")
+                    );
                     return Some((200, body));
                 }
             }
--- a/review/lib-2/users.rs
+++ b/review/lib-2/users.rs
@@ -35,10 +35,16 @@
 
 fn told(world: &World, what: &str, node: usize, answer: Option<(u16, String)>) -> Told {
     let told = answer.map(|(code, body)| {
-        let status = Json::parse(&body).unwrap_or(Json::Null).get("status").str().to_string();
+        let status = Json::parse(&body)
+            .unwrap_or(Json::Null)
+            .get("status")
+            .str()
+            .to_string();
         (code, status)
     });
-    world.record.line(format!("{what} at controller {node}: {told:?}"));
+    world
+        .record
+        .line(format!("{what} at controller {node}: {told:?}"));
     told
 }
 
@@ -48,7 +54,13 @@
 }
 
 pub fn poll(world: &World, nodes: &[SocketAddr], node: usize, id: &str) -> Told {
-    let answer = http::call(nodes[node], "GET", &format!("/work/{id}"), "", Duration::from_secs(2));
+    let answer = http::call(
+        nodes[node],
+        "GET",
+        &format!("/work/{id}"),
+        "",
+        Duration::from_secs(2),
+    );
     told(world, &format!("poll of {id}"), node, answer)
 }
 
@@ -56,7 +68,9 @@
     let path = format!("/work/{id}/abort");
     let answer = http::call(nodes[node], "POST", &path, "", Duration::from_secs(5));
     let told = told(world, &format!("cancellation of {id}"), node, answer);
-    if told.as_ref().is_some_and(|(code, status)| *code == 200 && status == "cancelled")
+    if told
+        .as_ref()
+        .is_some_and(|(code, status)| *code == 200 && status == "cancelled")
         && let Some(job) = world.jobs.lock().unwrap().get_mut(id)
     {
         job.cancelled_at.get_or_insert(world.record.now());
