Summary: machine types that the leader knows, and machines of unknown types

The summary showed cpus_free=0 and cpus_running=0 and could not tell whether the machines' capacity was unknown, or was held by attempts of an earlier leader that are retained.

Change: the summary has machine_types and machines_of_unknown_type. What the cluster state does with machine types moves from cluster_state.rs into a module of its own, unchanged.

--- a/crates/tallygauge-scheduler/src/cluster_state.rs
+++ b/crates/tallygauge-scheduler/src/cluster_state.rs
@@ -183,30 +183,6 @@
         }
     }
 
-    /// Adds or updates the machine types on offer, with their prices.
-    pub fn set_machine_types(&mut self, types: &[MachineType]) {
-        for machine_type in types {
-            self.machine_types
-                .insert(machine_type.name.clone(), machine_type.clone());
-        }
-        // Machines may be registered before their types are known, for example after a
-        // failover to a controller that has just started.
-        for worker in self.workers.values_mut() {
-            let Some(machine_type) = self.machine_types.get(&worker.machine_type) else {
-                continue;
-            };
-            worker.free_resources = Resources::of_type(machine_type);
-            for attempt in worker
-                .attempts
-                .iter()
-                .filter(|attempt| attempt.occupies_capacity())
-            {
-                worker.free_resources.add_scaled(&attempt.spec, -1.0);
-            }
-        }
-        self.needs_scheduling = true;
-    }
-
     /// Adds an open job with the tasks that are known to be completed. A job that was added
     /// before, or whose team is not configured, is ignored.
     pub fn add_job(&mut self, spec: JobSpec, version: u64, accepted_at: f64, completed: &RangeSet) {
--- a/crates/tallygauge-scheduler/src/lib.rs
+++ b/crates/tallygauge-scheduler/src/lib.rs
@@ -21,6 +21,7 @@
 mod held_responses;
 mod image_locality;
 mod machine_reservations;
+mod machine_types;
 mod machines;
 mod mapping;
 mod minimum_share;
--- a/crates/tallygauge/src/summary.rs
+++ b/crates/tallygauge/src/summary.rs
@@ -98,6 +98,8 @@
             .values()
             .filter(|worker| worker.has_reported())
             .count(),
+        machine_types = cluster.machine_type_count(),
+        machines_of_unknown_type = cluster.machines_of_unknown_type(),
         cpus_starting = cpus.starting,
         cpus_fetching = cpus.fetching,
         cpus_running = cpus.running,
