Record machine types: tasks start though all controllers restarted in a cloud outage

Four jobs are accepted and machines are rented for them; the cloud goes out and all controllers end once. The machines come up, report and hold leases, all jobs stay pending, and no task is started for as long as the cloud is out. A submission to a controller that started in the outage got 503.

Cause: machine types were in each controller's memory alone, read from the cloud. A leader that starts while the cloud is out registers every machine with no capacity.

Change: the leader records the types in s/types/N, written ahead under its term, as soon as what counts of them changes (not prices). Machines of a type are rented once it is on record, a lease later at the latest. Recovery, and each controller that starts while the cloud is out, take the types from the record; of a type read and recorded the later counts. A catalogue beyond a value or a transaction is packed into shards. With recorded types alone a job that fits is accepted, and one that fits no type gets 503 in place of 422, since users don't repeat after 422.

Why it works: whatever machine was rented, its type was durable before, and the record is read wherever a leader begins.

--- a/crates/tallygauge-scheduler/src/model/feasibility.rs
+++ b/crates/tallygauge-scheduler/src/model/feasibility.rs
@@ -28,6 +28,17 @@
     SpreadWithoutZones,
 }
 
+impl InfeasibleJob {
+    /// Whether the job could run if the cloud offered other machine types.
+    #[must_use]
+    pub fn depends_on_machine_types(&self) -> bool {
+        match self {
+            Self::NoFittingMachine | Self::SpreadWithoutZones => true,
+            Self::UnknownTeam(_) | Self::ExceedsTeamQuota(_) | Self::SpreadInOneZone => false,
+        }
+    }
+}
+
 /// Checks whether a job can ever run with these teams and machine types.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/tallygauge-sim/tests/cloud_outage.rs
@@ -0,0 +1,141 @@
+//! Outages of the cloud, in which controllers restart: machines that are up must be used, and
+//! users must be answered, by what leaders have recorded.
+
+use std::sync::Arc;
+use tallygauge::{controller::Controller, user_api};
+use tallygauge_protocol::users::JobStatus;
+use tallygauge_sim::{
+    LEASE_S, Simulation, count_starts, eventually, is_active_leader, query_status, sleep_s,
+    start_with_leader, submit_job, submit_until_accepted,
+};
+use tokio::task::JoinHandle;
+
+/// Boot time of a machine, in seconds: no machine is up before the controllers restart.
+const BOOT_TIME_S: f64 = 10.0;
+
+/// Time limit for the first start of a task after the controllers are back, in seconds.
+const START_TIMEOUT_S: f64 = 40.0;
+
+/// A controller with its background task.
+type RunningController = (Arc<Controller>, JoinHandle<()>);
+
+fn set_boot_time(simulation: &Simulation, boot_time_s: f64) {
+    let mut state = simulation.state.lock().expect("lock of the simulation");
+    state.boot_time_s = boot_time_s;
+}
+
+/// Starts a controller that leads and a follower, submits a job, and waits until machines are
+/// rented for it, which boot. Then the cloud is out.
+async fn start_cloud_outage_while_machines_boot()
+-> (Arc<Simulation>, [RunningController; 2], String) {
+    let (simulation, leader, leader_task) = start_with_leader().await;
+    set_boot_time(&simulation, BOOT_TIME_S);
+    let follower = simulation.start_controller("n-b");
+    let id = submit_job(&simulation, &leader, 1, 2, 4.0, 5.0).await;
+    let has_rented = async || {
+        let workers = leader.with_cluster(|cluster| cluster.workers.len());
+        workers.is_some_and(|count| count > 0)
+    };
+    assert!(eventually(30.0, has_rented).await, "no machine was rented");
+    simulation.set_faults(|faults| faults.cloud_down = true);
+    (simulation, [(leader, leader_task), follower], id)
+}
+
+/// Waits until the job is done, while the cloud is still out.
+async fn assert_job_completes(simulation: &Simulation, controller: &Controller, id: &str) {
+    let has_started = eventually(START_TIMEOUT_S, async || count_starts(simulation) > 0);
+    assert!(has_started.await, "no task was started");
+    let is_done = async || query_status(controller, id).await == Some(JobStatus::Done);
+    assert!(eventually(LEASE_S * 6.0, is_done).await, "{id} is not done");
+    simulation.assert_invariants();
+}
+
+// Guards against machine types that are in the controllers' memory alone: after all controllers
+// had restarted in an outage of the cloud, machines came up and reported, but no task was
+// started on them.
+#[tokio::test(start_paused = true)]
+async fn tasks_start_after_all_controllers_restart_during_a_cloud_outage() {
+    let (simulation, controllers, id) = start_cloud_outage_while_machines_boot().await;
+    for (controller, task) in &controllers {
+        simulation.crash_controller(&controller.settings.node_name, task);
+    }
+    sleep_s(4.0).await;
+    let (_controller_c, _task_c) = simulation.start_controller("n-c");
+    let (controller_d, _task_d) = simulation.start_controller("n-d");
+    assert_job_completes(&simulation, &controller_d, &id).await;
+}
+
+// As above, but one controller after the other restarts, twice, so that at every time one of
+// them is up.
+#[tokio::test(start_paused = true)]
+async fn tasks_start_after_controllers_restart_in_turn_during_a_cloud_outage() {
+    let (simulation, controllers, id) = start_cloud_outage_while_machines_boot().await;
+    let mut controllers = Vec::from(controllers);
+    for restart in 0..4 {
+        let (controller, task) = controllers.remove(0);
+        simulation.crash_controller(&controller.settings.node_name, &task);
+        controllers.push(simulation.start_controller(&format!("r-{restart}")));
+        sleep_s(LEASE_S * 0.1).await;
+    }
+    assert_job_completes(&simulation, &controllers[1].0, &id).await;
+}
+
+// As above, but the store is out as well when the controllers come back, and is back before the
+// cloud.
+#[tokio::test(start_paused = true)]
+async fn tasks_start_after_a_store_outage_during_a_cloud_outage() {
+    let (simulation, controllers, id) = start_cloud_outage_while_machines_boot().await;
+    simulation.set_store_down(true);
+    for (controller, task) in &controllers {
+        simulation.crash_controller(&controller.settings.node_name, task);
+    }
+    let (controller_c, _task_c) = simulation.start_controller("n-c");
+    sleep_s(LEASE_S * 1.5).await;
+    simulation.set_store_down(false);
+    assert_job_completes(&simulation, &controller_c, &id).await;
+}
+
+// A controller that started in the outage knows recorded types alone. It must accept what can
+// run by them. A job that fits none of them may fit a type that is offered since: it must not
+// be rejected for good, while one that exceeds its team's quota must be.
+#[tokio::test(start_paused = true)]
+async fn controller_with_recorded_types_accepts_jobs_but_rejects_none_by_type() {
+    let (simulation, controllers, _id) = start_cloud_outage_while_machines_boot().await;
+    for (controller, task) in &controllers {
+        simulation.crash_controller(&controller.settings.node_name, task);
+    }
+    let (controller, _task) = simulation.start_controller("n-c");
+    assert!(eventually(30.0, async || controller.catalogue.is_loaded()).await);
+    assert!(eventually(30.0, async || is_active_leader(&controller)).await);
+    let status_of = async |number, cpus| {
+        let request = simulation.job(number, 1, cpus, 5.0);
+        user_api::submit(&controller, &request.body).await.status()
+    };
+    assert_eq!(status_of(11, 4.0).await, 201);
+    assert_eq!(status_of(12, 12.0).await, 503, "fits no recorded type");
+    assert_eq!(status_of(13, 24.0).await, 422, "exceeds the quota");
+    simulation.set_faults(|faults| faults.cloud_down = false);
+    assert!(eventually(30.0, async || controller.catalogue.is_current()).await);
+    assert_eq!(status_of(12, 12.0).await, 422, "fits no type on offer");
+}
+
+// A machine that is rented before its type is on record could not be used by the next leader.
+#[tokio::test(start_paused = true)]
+async fn machines_are_rented_only_once_their_type_is_recorded() {
+    let simulation = Simulation::new();
+    tokio::spawn(simulation.clone().run_workers());
+    simulation.set_faults(|faults| faults.hang_writes_with_prefix = Some("s/types"));
+    let (controller, _task) = simulation.start_controller("n-a");
+    assert!(eventually(30.0, async || is_active_leader(&controller)).await);
+    let job = simulation.job(1, 1, 1.0, 5.0);
+    submit_until_accepted(&controller, &job.body).await;
+    sleep_s(LEASE_S * 0.5).await;
+    assert!(simulation.booted_machines().is_empty(), "rented too early");
+    // A record that cannot be written must not keep the cluster from working for ever.
+    let is_running = eventually(LEASE_S * 2.0, async || count_starts(&simulation) > 0);
+    assert!(is_running.await, "no machine without a record");
+    simulation.set_faults(|faults| faults.hang_writes_with_prefix = None);
+    let is_recorded = eventually(LEASE_S, async || simulation.count_keys("s/types") > 0);
+    assert!(is_recorded.await, "the types are not recorded");
+    simulation.assert_invariants();
+}
--- a/crates/tallygauge-sim/tests/drawn_scenarios.rs
+++ b/crates/tallygauge-sim/tests/drawn_scenarios.rs
@@ -50,6 +50,14 @@
     }
 }
 
+// Guards against machine types that no controller knows: in this scenario the cloud is out and
+// all controllers restart, and no task was started on the machine that is up.
+#[tokio::test(start_paused = true)]
+async fn scenario_with_restarts_during_a_cloud_outage_starts_tasks() {
+    let violations = run_scenario(7650, InjectedViolation::None).await;
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 // A checker that detects nothing would let every scenario pass, so each one has to report a
 // violation that is injected for it.
 #[tokio::test(start_paused = true)]
--- a/crates/tallygauge/src/cloud/catalogue.rs
+++ b/crates/tallygauge/src/cloud/catalogue.rs
@@ -2,21 +2,22 @@
 
 use super::client;
 use crate::controller::Controller;
-use std::sync::Arc;
 use tallygauge_protocol::cloud::Catalogue;
 use warp::http::Method;
 
-/// Reads the machine types, which every controller needs to validate job submissions.
-/// Returns whether the read succeeded with at least one type.
+/// Reads the machine types that the cloud provider offers. Returns whether the read succeeded
+/// with at least one type.
 pub async fn refresh_catalogue(controller: &Controller) -> bool {
+    let read_at = controller.unix_time_s();
     let response = client::call::<(), Catalogue>(controller, Method::GET, "/catalog", None).await;
-    match response {
-        Ok(catalogue) if !catalogue.types.is_empty() => {
-            let types = Arc::new(catalogue.types);
-            controller.catalogue.set(types.clone());
-            controller.with_cluster(|cluster| cluster.set_machine_types(&types));
-            true
-        }
-        _ => false,
+    let Ok(Catalogue { types }) = response else {
+        return false;
+    };
+    if types.is_empty() {
+        return false;
     }
+    controller.catalogue.set_offered(types.clone(), read_at);
+    controller.with_cluster(|cluster| cluster.set_machine_types(&types));
+    controller.machine_types_changed.notify_one();
+    true
 }
--- a/crates/tallygauge/src/cloud/rentals.rs
+++ b/crates/tallygauge/src/cloud/rentals.rs
@@ -76,8 +76,15 @@
     if !is_list_complete || !controller.is_unfenced_leader() {
         return None;
     }
-    let rentals = controller.with_cluster(|cluster| cluster.rentals(controller.now()))?;
-    let rental = rentals.into_iter().next()?;
+    let now = controller.now();
+    let max_delay_s = controller.settings.deployment.workers.lease_s;
+    let rentals = controller.with_cluster(|cluster| cluster.rentals(now))?;
+    let rental = rentals.into_iter().find(|rental| {
+        let machine_type = &rental.kind.machine_type;
+        controller
+            .catalogue
+            .may_rent(machine_type, now, max_delay_s)
+    })?;
     let MachineKind {
         machine_type,
         zone,
--- a/crates/tallygauge/src/controller.rs
+++ b/crates/tallygauge/src/controller.rs
@@ -5,7 +5,7 @@
     job_cache::JobCache,
     leadership::LeadershipState,
     locking,
-    machine_catalogue::MachineCatalogue,
+    machine_types::MachineCatalogue,
     operator_settings::OperatorSettings,
     peer_reachability::PeerReachability,
     process_clock::ProcessClock,
@@ -81,6 +81,9 @@
     pub peer_reachability: PeerReachability,
     /// Machine types of the cloud provider.
     pub catalogue: MachineCatalogue,
+    /// Notified after the leader has learnt of a change of the machine types, which have to
+    /// be recorded.
+    pub machine_types_changed: Notify,
     /// Jobs as last read from the store.
     pub job_cache: JobCache,
     /// On a follower: task counts of active jobs, as last read from the leader.
@@ -136,6 +139,7 @@
             load: ProcessLoad::new(settings.deployment.workers.heartbeat_interval_s),
             peer_reachability: PeerReachability::default(),
             catalogue: MachineCatalogue::default(),
+            machine_types_changed: Notify::new(),
             settings,
             operator_settings,
             job_cache: JobCache::new(cached_jobs.max(MIN_CACHED_JOBS)),
--- a/crates/tallygauge/src/leader/background_loops.rs
+++ b/crates/tallygauge/src/leader/background_loops.rs
@@ -3,7 +3,7 @@
 use super::recovery::{self, RecoveredTerm};
 use crate::{
     cleanup, cloud, controller::Controller, direct_messages, job_watch_loop, leader_records,
-    progress, reconciliation, scheduling_loop, summary,
+    machine_types, progress, reconciliation, scheduling_loop, summary,
 };
 use std::sync::Arc;
 use tallygauge_protocol::state::Condition;
@@ -13,6 +13,7 @@
 /// task and spawn no tasks of their own, except for direct messages in flight.
 pub(super) async fn run(controller: &Arc<Controller>, term: u64, term_condition: &Condition) {
     let RecoveredTerm { revision, records } = recover_with_retries(controller, term).await;
+    let recorded_types = records.machine_types();
     direct_messages::send_direct_messages(controller);
     controller.wake_scheduler.notify_one();
     tokio::join!(
@@ -23,6 +24,7 @@
         cleanup::run(controller, term_condition),
         summary::run(controller),
         leader_records::run(controller, term_condition, records),
+        machine_types::record_types(controller, term_condition, recorded_types),
         reconciliation::run(controller),
         cloud::run(controller, term),
     );
--- a/crates/tallygauge/src/leader/recovery.rs
+++ b/crates/tallygauge/src/leader/recovery.rs
@@ -70,6 +70,7 @@
         unix_time_s: controller.unix_time_s(),
     };
     let mut cluster = new_cluster_state(controller, term, time);
+    restore_machine_types(controller, &mut cluster, &durable.records);
     restore_leader_records(&mut cluster, &durable.records);
     let completed = restore_completion_pages(&mut cluster, durable.completion_pages)?;
     restore_active_jobs(&mut cluster, durable.active_jobs, &completed, time)?;
@@ -114,11 +115,23 @@
         controller.tasks_per_chunk(),
         scheduling_loop::max_record_bytes(controller),
     );
+    cluster.set_unix_time(time.now, time.unix_time_s);
+    cluster
+}
+
+/// Restores the machine types that this controller has read from the cloud or that earlier
+/// leaders have recorded: the cloud may not answer for the whole term.
+fn restore_machine_types(
+    controller: &Controller,
+    cluster: &mut ClusterState,
+    records: &StoredRecords,
+) {
+    controller
+        .catalogue
+        .add_recorded(records.machine_types().types());
     if let Some(types) = controller.catalogue.get() {
         cluster.set_machine_types(&types);
     }
-    cluster.set_unix_time(time.now, time.unix_time_s);
-    cluster
 }
 
 /// Restores the auxiliary records of earlier leaders. Missing ones are rebuilt in the course
--- a/crates/tallygauge/src/leader_records.rs
+++ b/crates/tallygauge/src/leader_records.rs
@@ -5,6 +5,7 @@
     controller::Controller,
     deadline_settings::CutoffSettings,
     leader_transaction::{max_writes, new_transaction},
+    machine_types::{MachineTypesRecord, StoredTypes},
     pacing::heartbeat_intervals,
     scheduling_loop::max_record_bytes,
 };
@@ -68,6 +69,14 @@
         }
     }
 
+    /// The machine types that leaders have recorded.
+    pub(crate) fn machine_types(&self) -> StoredTypes {
+        let entries = self.entries.iter();
+        StoredTypes::decode(
+            entries.map(|(name, entry)| (name.as_str(), &entry.value, entry.version)),
+        )
+    }
+
     /// Decodes all shards of a record.
     #[must_use]
     pub fn decode_shards<T: Record>(&self) -> Vec<T> {
@@ -102,6 +111,28 @@
     stored
 }
 
+/// Reads the machine types that leaders have recorded.
+///
+/// # Errors
+/// If the store does not answer.
+pub(crate) async fn load_machine_types(
+    controller: &Controller,
+    priority: RequestPriority,
+) -> Result<StoredTypes, StoreError> {
+    let prefix = record_key(MachineTypesRecord::NAME);
+    let listing = controller.store.list(priority, &prefix).await?;
+    let records = listing.entries.iter().filter_map(|entry| {
+        let name = entry.key.strip_prefix(KEY_PREFIX)?;
+        Some((name, &entry.value, entry.version))
+    });
+    Ok(StoredTypes::decode(records))
+}
+
+/// Key of the leader record with this name.
+pub(crate) fn record_key(name: &str) -> String {
+    format!("{KEY_PREFIX}{name}")
+}
+
 /// Writes the leader's records for as long as this controller leads. Declared settings are
 /// written ahead, that is before they are put into force; all other records are written
 /// behind. A record for which the request budget does not suffice is written later. Never
@@ -309,7 +340,7 @@
     fn write_transaction(&self, batch: &WriteBatch) -> Transaction {
         let mut transaction = new_transaction(self.term_condition);
         for entry in &batch.entries {
-            let key = format!("{KEY_PREFIX}{}", entry.name);
+            let key = record_key(&entry.name);
             transaction.conditions.push(Condition {
                 key: key.clone(),
                 version: self.versions.get(&entry.name).copied().unwrap_or(0),
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -21,7 +21,7 @@
 mod leader_transaction;
 pub mod leadership;
 mod locking;
-pub mod machine_catalogue;
+pub mod machine_types;
 pub mod operator_settings;
 mod pacing;
 pub mod peer_reachability;
@@ -62,10 +62,6 @@
 /// Maximum size of one response, as a fraction of the process's memory limit.
 const MAX_RESPONSE_MEMORY_FRACTION: f64 = 1.0 / 8.0;
 
-/// Pause between two attempts to read the machine types, in multiples of the time
-/// between two requests that the cloud provider's rate limit allows.
-const CATALOGUE_RETRY_REQUEST_INTERVALS: f64 = 2.0;
-
 /// Runs a controller until it is killed.
 ///
 /// # Errors
@@ -139,19 +135,9 @@
 /// these. The loops of a leader's term are listed in `leader::background_loops`.
 pub async fn background(controller: Arc<Controller>, version_checks: VersionCheckQueue) {
     tokio::join!(
-        load_catalogue(&controller),
+        machine_types::load(&controller),
         leader::run(controller.clone()),
         version_checks.serve(controller.clone()),
         user_api::refresh_active_jobs(controller.clone()),
     );
 }
-
-/// Reads the machine types, retrying until it succeeds. Every controller needs them to
-/// validate job submissions; a leader also refreshes them periodically.
-async fn load_catalogue(controller: &Controller) {
-    let requests_per_s = controller.settings.deployment.cloud.requests_per_s;
-    let pause = Duration::from_secs_f64(CATALOGUE_RETRY_REQUEST_INTERVALS / requests_per_s);
-    while !cloud::refresh_catalogue(controller).await {
-        tokio::time::sleep(pause + controller.jitter(pause)).await;
-    }
-}
--- a/crates/tallygauge/src/user_api/submit.rs
+++ b/crates/tallygauge/src/user_api/submit.rs
@@ -36,6 +36,10 @@
     Infeasible(#[from] InfeasibleJob),
     #[error("the machine types are not known yet")]
     CatalogueUnknown,
+    /// The job fits none of the recorded machine types. Since these were recorded, the cloud
+    /// may have begun to offer one that it fits.
+    #[error("{0}, but the machine types may be out of date")]
+    CatalogueOutdated(InfeasibleJob),
     #[error("the submission can't be kept")]
     NotEncodable,
     #[error("the submission is too long to be kept")]
@@ -45,7 +49,9 @@
 impl From<SubmissionError> for Reply {
     fn from(error: SubmissionError) -> Self {
         let status = match error {
-            SubmissionError::CatalogueUnknown => return Reply::retry_later(error.to_string()),
+            SubmissionError::CatalogueUnknown | SubmissionError::CatalogueOutdated(_) => {
+                return Reply::retry_later(error.to_string());
+            }
             SubmissionError::Infeasible(_) => 422,
             _ => 400,
         };
@@ -100,7 +106,8 @@
 }
 
 /// Checks that a submission is well-formed and that some machine type and its team's quota
-/// allow the job to run.
+/// allow the job to run. Recorded machine types suffice to accept a job, but not to reject one
+/// for good.
 fn validate_spec(controller: &Controller, value: Value) -> Result<JobSpec, SubmissionError> {
     let spec: JobSpec = serde_json::from_value(value)
         .map_err(|error| SubmissionError::InvalidField(error.to_string()))?;
@@ -108,8 +115,15 @@
         .map_err(|error| SubmissionError::InvalidField(error.to_string()))?;
     let catalogue = controller.catalogue.get();
     let machine_types = catalogue.ok_or(SubmissionError::CatalogueUnknown)?;
-    check_feasible(&spec, &controller.settings.teams(), &machine_types)?;
-    Ok(spec)
+    match check_feasible(&spec, &controller.settings.teams(), &machine_types) {
+        Ok(()) => Ok(spec),
+        Err(infeasible)
+            if infeasible.depends_on_machine_types() && !controller.catalogue.is_current() =>
+        {
+            Err(SubmissionError::CatalogueOutdated(infeasible))
+        }
+        Err(infeasible) => Err(infeasible.into()),
+    }
 }
 
 /// The reply to the submission of a job that exists, or `None` if the job does not exist.
--- a/crates/tallygauge/tests/golden.rs
+++ b/crates/tallygauge/tests/golden.rs
@@ -12,6 +12,7 @@
 use serde_json::Value;
 use tallygauge::{
     deadline_settings::{CutoffEntry, CutoffSettings, RankEntry, RankSettings},
+    machine_types::MachineTypesRecord,
     operator_settings::{
         LocalitySettings, MinimumShareSettings, OperatorSettings, UtilitySettings,
     },
@@ -99,6 +100,10 @@
             record_key::<CutoffSettings>(None),
             round_trip_record::<CutoffSettings>,
         ),
+        (
+            record_key::<MachineTypesRecord>(Some(0)),
+            round_trip_record::<MachineTypesRecord>,
+        ),
     ];
     let lines: Vec<&str> = include_str!("golden/records.txt").lines().collect();
     assert_eq!(lines.len(), round_trips.len());
