Recovery repeats a listing of the leader's records that the store refused

Cause: leader_records::load took an unanswered listing for an empty one, while recovery repeats the listings of jobs, pages and placements. Found by reading the paths on which the machine types reach a new leader.

Change: load returns the store's error, and recovery is repeated as for the other listings. A missing or unreadable record still keeps no controller from leading.

Test: leader_reads_its_records_again_after_the_store_refused_them failed before ("no task was started") and passes.

--- a/crates/tallygauge-sim/src/fault_settings.rs
+++ b/crates/tallygauge-sim/src/fault_settings.rs
@@ -93,6 +93,8 @@
     pub hang_writes_with_prefix: Option<&'static str>,
     /// Delays the next transaction that matches.
     pub delay_next_write: Option<DelayedWrite>,
+    /// The next listing of the keys with this prefix is answered with status 503.
+    pub refuse_next_listing: Option<&'static str>,
     /// Whether watches of active jobs get no response.
     pub hang_job_watches: bool,
     /// Whether responses to controllers are truncated to half their length.
@@ -140,6 +142,7 @@
             lose_next_responses: 0,
             hang_writes_with_prefix: None,
             delay_next_write: None,
+            refuse_next_listing: None,
             hang_job_watches: false,
             truncate_responses: false,
             link_delay_s: DEFAULT_LINK_DELAY_S,
@@ -164,4 +167,14 @@
     pub(crate) fn store_refuses(&self, controller: &str) -> bool {
         self.store_down || self.store_refused.contains(controller)
     }
+
+    /// Whether the store answers this request with status 503 because the listing is to be
+    /// refused once.
+    pub(crate) fn take_listing_refusal(&mut self, path: &str) -> bool {
+        let refusal = self.refuse_next_listing.take_if(|prefix| {
+            let listing = format!("/store?starts={prefix}&");
+            path.starts_with(&listing)
+        });
+        refusal.is_some()
+    }
 }
--- a/crates/tallygauge-sim/src/store_requests.rs
+++ b/crates/tallygauge-sim/src/store_requests.rs
@@ -75,7 +75,11 @@
         if self.is_store_partitioned(controller) {
             return hang().await;
         }
-        if self.state.lock().unwrap().faults.store_refuses(controller) {
+        let is_refused = {
+            let faults = &mut self.state.lock().unwrap().faults;
+            faults.store_refuses(controller) || faults.take_listing_refusal(path)
+        };
+        if is_refused {
             return Ok(status(503, json!({})));
         }
         if let Some(query) = path.strip_prefix("/changes?") {
--- a/crates/tallygauge-sim/tests/cloud_outage.rs
+++ b/crates/tallygauge-sim/tests/cloud_outage.rs
@@ -95,6 +95,22 @@
     assert_job_completes(&simulation, &controller_c, &id).await;
 }
 
+// A new leader ignored that it could not read the leader's records, and led without them for the
+// rest of its term: without the machine types in an outage of the cloud, without cutoffs and ranks
+// at any time.
+#[tokio::test(start_paused = true)]
+async fn leader_reads_its_records_again_after_the_store_refused_them() {
+    let (simulation, controllers, id) = start_cloud_outage_while_machines_boot().await;
+    for (controller, task) in &controllers {
+        simulation.crash_controller(&controller.settings.node_name, task);
+    }
+    // The crashed leader's lease expires, so that the next controller leads at once.
+    sleep_s(LEASE_S * 0.5).await;
+    simulation.set_faults(|faults| faults.refuse_next_listing = Some("s/"));
+    let (controller, _task) = simulation.start_controller("n-c");
+    assert_job_completes(&simulation, &controller, &id).await;
+}
+
 // A controller that started in the outage knows recorded types alone. It must accept what can
 // run by them. A job that fits none of them may fit a type that is offered since: it must not
 // be rejected for good, while one that exceeds its team's quota must be.
--- a/crates/tallygauge/src/leader/recovery.rs
+++ b/crates/tallygauge/src/leader/recovery.rs
@@ -104,7 +104,7 @@
         completion_pages: completion_pages.entries,
         placement_batches: placement_batches?.entries,
         undelivered_starts: undelivered_starts?.entries,
-        records,
+        records: records?,
     })
 }
 
--- a/crates/tallygauge/src/leader_records.rs
+++ b/crates/tallygauge/src/leader_records.rs
@@ -88,27 +88,29 @@
 
 /// Reads the records that earlier leaders stored. Missing or unreadable records never keep
 /// a controller from leading.
-pub async fn load(controller: &Controller) -> StoredRecords {
+///
+/// # Errors
+/// If the store does not answer. The caller has to retry: without the records the leader would
+/// not know the machine types while the cloud is out, nor the cutoffs and ranks in force.
+pub async fn load(controller: &Controller) -> Result<StoredRecords, StoreError> {
     let mut stored = StoredRecords::default();
-    if let Ok(Listing { entries, .. }) = controller
+    let listing = controller
         .store
         .list(RequestPriority::Leadership, KEY_PREFIX)
-        .await
+        .await?;
+    for KeyValue {
+        key,
+        value,
+        version,
+    } in listing.entries
     {
-        for KeyValue {
-            key,
-            value,
-            version,
-        } in entries
-        {
-            if let Some(name) = key.strip_prefix(KEY_PREFIX) {
-                let entry = VersionedValue { value, version };
-                stored.entries.insert(name.to_string(), entry);
-            }
+        if let Some(name) = key.strip_prefix(KEY_PREFIX) {
+            let entry = VersionedValue { value, version };
+            stored.entries.insert(name.to_string(), entry);
         }
     }
     stored.cutoffs = stored.decode(None);
-    stored
+    Ok(stored)
 }
 
 /// Reads the machine types that leaders have recorded.
