Install the cluster state with the machine types that are known by then

Cause, by reading: recovery copies the machine types before it restores the placements, and lets other work run in between. An answer of the cloud that arrived there was kept by the controller and lost to the term; the leader has it when it asks the cloud next, which may be out by then.

Change: the types are applied once more when the cluster state is installed, under the lock that an answer of the cloud takes to reach the cluster state.

Not shown by a test: the gap lies between two steps without a wait, so no simulated time passes in it. A test in which the cloud answers during the recovery's listings passed before as well.

--- a/crates/tallygauge/src/leader/recovery.rs
+++ b/crates/tallygauge/src/leader/recovery.rs
@@ -249,6 +249,11 @@
     cluster.term_started_at = controller.now();
     let mut leadership = controller.leadership.lock();
     if let Some(leadership) = leadership.as_mut().filter(|own| own.term == term) {
+        // The cloud may have answered since the types were restored. From now on an answer
+        // reaches the cluster state itself.
+        if let Some(types) = controller.catalogue.get() {
+            cluster.set_machine_types(&types);
+        }
         leadership.cluster = Some(cluster);
         leadership.watched_revision = revision;
         // No heartbeat could be answered before the recovery, so silence counts from here.
