Do not repeat a rental that the cloud rejects

What callers saw: jobs stay pending though the cloud offers machines that fit. The leader's request names a type that the cloud no longer offers; the cloud answers 400, and the leader repeats the same request for the rest of its term. Rentals go out one at a time, so nothing else is rented.

Cause: 400 counted as "not executed", as 429 and an outage do. Found by looking at what a leader with types that are out of date does, which recorded types make more likely.

Change: 400 is an outcome of its own. The kind of machine gets the backoff of a refusal, and the next request is worked out anew. The simulated cloud offers several types and rejects others.

Test: rejected_rental_is_not_repeated failed before ("no task was started") and passes. All tests of tallygauge-sim pass.

--- a/crates/tallygauge-sim/src/cloud.rs
+++ b/crates/tallygauge-sim/src/cloud.rs
@@ -1,5 +1,5 @@
-//! The simulated cloud: a catalogue with one machine type, the list of rented machines, and
-//! the rental and return of machines.
+//! The simulated cloud: a catalogue of machine types, the list of rented machines, and the
+//! rental and return of machines.
 
 use crate::{
     SimState, Simulation,
@@ -27,6 +27,9 @@
         if path == "/machines/return" {
             return ok(state.return_machines(&request));
         }
+        if !state.offers(&request["build"]) {
+            return status(400, json!({"error": "no such type"}));
+        }
         ok(state.rent_machines(now, &request))
     }
 }
@@ -34,8 +37,20 @@
 impl SimState {
     /// The available machine types.
     fn catalogue(&self) -> Value {
-        json!({"builds": [{"name": "c8", "cores": 8, "gpus": 0, "memGb": 32,
-            "cacheGb": 20, "pullGbPerS": 10.0, "rate": 1.0, "lowPrice": 0.4, "readyS": 2.0, "sites": self.zones}]})
+        let types: Vec<Value> = (1u32..)
+            .zip(&self.machine_types)
+            .map(|(price, name)| {
+                json!({"name": name, "cores": 8, "gpus": 0, "memGb": 32,
+                    "cacheGb": 20, "pullGbPerS": 10.0, "rate": f64::from(price), "lowPrice": f64::from(price) * 0.4, "readyS": 2.0, "sites": self.zones})
+            })
+            .collect();
+        json!({"builds": types})
+    }
+
+    /// Whether the cloud offers the machine type with this name.
+    fn offers(&self, machine_type: &Value) -> bool {
+        let mut offered = self.machine_types.iter();
+        offered.any(|name| machine_type == name)
     }
 
     /// The list of all rented machines.
@@ -45,7 +60,7 @@
             .iter()
             .map(|(name, machine)| {
                 let has_booted = self.workers.contains_key(name);
-                json!({"nameId": name, "endpoint": self.endpoint(name), "build": "c8", "site": machine.zone, "borrowed": false,
+                json!({"nameId": name, "endpoint": self.endpoint(name), "build": machine.machine_type, "site": machine.zone, "borrowed": false,
                     "status": if has_booted {"running"} else {"booting"}, "ageS": now - machine.rented_at})
             })
             .collect();
@@ -71,18 +86,22 @@
         self.check_rental_request(now, &request_id, request.to_string());
         if !self.rentals.contains_key(&request_id) {
             let count = request["howMany"].as_u64().unwrap();
+            let machine_type = request["build"].as_str().unwrap();
             let zone = request["site"].as_str().unwrap();
-            let names = (0..count).map(|_| self.add_machine(now, zone)).collect();
+            let names = (0..count)
+                .map(|_| self.add_machine(now, machine_type, zone))
+                .collect();
             self.rentals.insert(request_id.clone(), names);
         }
         json!({"benches": self.rentals[&request_id]})
     }
 
     /// Adds a machine that starts to boot now. Returns its name.
-    fn add_machine(&mut self, now: f64, zone: &str) -> String {
+    fn add_machine(&mut self, now: f64, machine_type: &str, zone: &str) -> String {
         let name = self.next_machine_name();
         let machine = RentedMachine {
             rented_at: now,
+            machine_type: machine_type.to_string(),
             zone: zone.to_string(),
         };
         self.machines.insert(name.clone(), machine);
--- a/crates/tallygauge-sim/src/machines.rs
+++ b/crates/tallygauge-sim/src/machines.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     CANCEL_TIMEOUT_S, JobShape, LEASE_S, Simulation,
-    state::{RentedMachine, SimState},
+    state::{DEFAULT_MACHINE_TYPE, RentedMachine, SimState},
 };
 
 /// CPUs of each machine.
@@ -247,6 +247,7 @@
             let name = self.next_machine_name();
             let machine = RentedMachine {
                 rented_at: PAST_RENTAL_AT,
+                machine_type: DEFAULT_MACHINE_TYPE.into(),
                 zone: "a".into(),
             };
             self.machines.insert(name, machine);
--- a/crates/tallygauge-sim/src/state.rs
+++ b/crates/tallygauge-sim/src/state.rs
@@ -15,10 +15,15 @@
 /// Default seed of the random number generator.
 const DEFAULT_SEED: u64 = 1;
 
+/// Name of the machine type that the cloud offers by default.
+pub(crate) const DEFAULT_MACHINE_TYPE: &str = "c8";
+
 /// A machine rented from the cloud.
 pub(crate) struct RentedMachine {
     /// When it was rented, in seconds of simulated time.
     pub(crate) rented_at: f64,
+    /// Name of its machine type.
+    pub(crate) machine_type: String,
     /// Zone of the machine.
     pub(crate) zone: String,
 }
@@ -76,6 +81,9 @@
     pub(crate) next_machine_number: u32,
     /// Boot time of a machine, in seconds.
     pub boot_time_s: f64,
+    /// Names of the machine types that the cloud offers, cheapest first. They differ in
+    /// nothing but the price.
+    pub machine_types: Vec<&'static str>,
     /// Zones in which the cloud offers machines.
     pub zones: Vec<&'static str>,
     /// Quota of each team: total CPUs that its running tasks may use.
@@ -126,6 +134,7 @@
             rental_requests: HashMap::new(),
             next_machine_number: 0,
             boot_time_s: DEFAULT_BOOT_TIME_S,
+            machine_types: vec![DEFAULT_MACHINE_TYPE],
             zones: vec!["a"],
             team_quota_cpus: TEAM_QUOTA_CPUS,
             endpoints: HashMap::new(),
--- a/crates/tallygauge-sim/src/worker_agent.rs
+++ b/crates/tallygauge-sim/src/worker_agent.rs
@@ -248,7 +248,7 @@
     fn heartbeat(&self, name: &str) -> Value {
         let worker = &self.workers[name];
         let tasks: Vec<Value> = worker.tasks.iter().map(task_status).collect();
-        json!({"bench": name, "endpoint": self.endpoint(name), "build": "c8", "site": worker.zone, "borrowed": false,
+        json!({"bench": name, "endpoint": self.endpoint(name), "build": self.machines[name].machine_type, "site": worker.zone, "borrowed": false,
             "shift": worker.incarnation, "tick": worker.sequence, "baton": worker.fencing_token, "recallS": null, "pieces": tasks})
     }
 
--- a/crates/tallygauge-sim/tests/cloud_outage.rs
+++ b/crates/tallygauge-sim/tests/cloud_outage.rs
@@ -111,6 +111,20 @@
     assert_job_completes(&simulation, &controller, &id).await;
 }
 
+// The cloud rejects the rental of a type that it no longer offers. The request was repeated for
+// the rest of the term, and nothing else was rented meanwhile.
+#[tokio::test(start_paused = true)]
+async fn rejected_rental_is_not_repeated() {
+    let simulation = Simulation::new();
+    simulation.state.lock().unwrap().machine_types = vec!["c8", "d8"];
+    tokio::spawn(simulation.clone().run_workers());
+    let (controller, _task) = simulation.start_controller("n-a");
+    assert!(eventually(30.0, async || is_active_leader(&controller)).await);
+    simulation.state.lock().unwrap().machine_types = vec!["d8"];
+    let id = submit_job(&simulation, &controller, 1, 2, 4.0, 5.0).await;
+    assert_job_completes(&simulation, &controller, &id).await;
+}
+
 // A controller that started in the outage knows recorded types alone. It must accept what can
 // run by them. A job that fits none of them may fit a type that is offered since: it must not
 // be rejected for good, while one that exceeds its team's quota must be.
--- a/crates/tallygauge/src/cloud/client.rs
+++ b/crates/tallygauge/src/cloud/client.rs
@@ -21,10 +21,13 @@
 /// Why a request to the cloud provider has no result.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub(super) enum CloudError {
-    /// The request was certainly not executed: the provider rejected it, or it was not
-    /// sent.
+    /// The request was certainly not executed: the provider could not serve it now, or it
+    /// was not sent.
     #[error("request not executed by the cloud provider")]
     NotExecuted,
+    /// The provider does not accept the request, and would not if it were repeated.
+    #[error("request rejected by the cloud provider")]
+    Rejected,
     /// The provider currently has no machine of the requested kind.
     #[error("no capacity at the cloud provider")]
     NoCapacity,
@@ -71,7 +74,11 @@
                 path,
                 "cloud provider rejected request"
             );
-            Err(CloudError::NotExecuted)
+            Err(if status == StatusCode::BAD_REQUEST {
+                CloudError::Rejected
+            } else {
+                CloudError::NotExecuted
+            })
         }
         Err(RequestError::NotSent) => Err(CloudError::NotExecuted),
         Err(RequestError::NoResponse) => Err(CloudError::Indeterminate),
--- a/crates/tallygauge/src/cloud/rentals.rs
+++ b/crates/tallygauge/src/cloud/rentals.rs
@@ -107,6 +107,16 @@
     match response {
         Ok(machines) => record_rented(controller, request, &machines.names),
         Err(CloudError::NoCapacity) => record_no_capacity(controller, request),
+        Err(CloudError::Rejected) => {
+            tracing::warn!(
+                request_id = request.request_id,
+                machine_type = request.machine_type,
+                zone = request.zone,
+                spot = request.spot,
+                "cloud provider rejected the rental"
+            );
+            record_no_capacity(controller, request);
+        }
         Err(CloudError::NotExecuted | CloudError::Indeterminate) => return RentalOutcome::Retry,
     }
     RentalOutcome::Completed
