Withdraw machine types that the cloud no longer offers

What callers saw: a leader rents a type for the rest of its term after the cloud has stopped offering it. Each request is rejected, and tasks wait for its backoff though another type is to be had. With the types on record this would go on in every later term.

Cause: the cluster state added and updated types and forgot none; the capacity of machines that exist and the offers of the cloud were one and the same entry.

Change: a type that the cloud no longer names loses its zones, which is what rentals and feasibility go by. Its capacity stays until a complete machine list shows no machine of it.

Tests, failing before: withdrawn_type_is_not_rented_but_its_machines_are_used (rented "small"), withdrawn_type_is_forgotten_with_its_last_machine. A third one passed before as well and shows the answer for a related path: empty_machine_of_unknown_type_is_returned_as_idle. All tests pass.

--- a/crates/tallygauge-scheduler/src/machine_types.rs
+++ b/crates/tallygauge-scheduler/src/machine_types.rs
@@ -1,11 +1,31 @@
-//! The machine types that the leader knows.
+//! The machine types that the leader knows: those that the cloud offers, and those of machines
+//! that still exist. A type that is withdrawn, that is no longer offered, has no zones, so that
+//! none of its kinds can be rented.
 
 use crate::{cluster_state::ClusterState, model::*};
+use std::collections::BTreeSet;
 use tallygauge_protocol::cloud::MachineType;
 
 impl ClusterState {
-    /// Adds or updates machine types, with their prices.
-    pub fn set_machine_types(&mut self, types: &[MachineType]) {
+    /// Replaces the machine types on offer, with their prices, by what the cloud offers now. A
+    /// known type that is not among them is withdrawn.
+    pub fn set_machine_types(&mut self, offered: &[MachineType]) {
+        let names: BTreeSet<&str> = offered.iter().map(|t| t.name.as_str()).collect();
+        for known in self.machine_types.values_mut() {
+            if !names.contains(known.name.as_str()) {
+                known.zones.clear();
+            }
+        }
+        // A type without zones that no machine is known of would be forgotten again.
+        let is_useful =
+            |t: &&MachineType| !t.zones.is_empty() || self.machine_types.contains_key(&t.name);
+        let useful: Vec<MachineType> = offered.iter().filter(is_useful).cloned().collect();
+        self.restore_machine_types(&useful);
+    }
+
+    /// Adds or updates machine types that this leader did not read from the cloud in its term,
+    /// withdrawn ones among them.
+    pub fn restore_machine_types(&mut self, types: &[MachineType]) {
         for machine_type in types {
             self.machine_types
                 .insert(machine_type.name.clone(), machine_type.clone());
@@ -28,6 +48,18 @@
         self.needs_scheduling = true;
     }
 
+    /// Forgets the withdrawn types of which no machine is left. `is_complete` says whether
+    /// every machine that the cloud has rented is known.
+    pub(crate) fn forget_withdrawn_types(&mut self, is_complete: bool) {
+        if !is_complete || self.machine_types.values().all(|t| !t.zones.is_empty()) {
+            return;
+        }
+        let workers = self.workers.values();
+        let used: BTreeSet<&str> = workers.map(|w| w.machine_type.as_str()).collect();
+        self.machine_types
+            .retain(|name, t| !t.zones.is_empty() || used.contains(name.as_str()));
+    }
+
     /// All known machine types, sorted by name.
     #[must_use]
     pub fn known_machine_types(&self) -> Vec<MachineType> {
--- a/crates/tallygauge-scheduler/src/machines.rs
+++ b/crates/tallygauge-scheduler/src/machines.rs
@@ -109,6 +109,7 @@
         for name in &nonexistent {
             self.deregister_machine(name, now);
         }
+        self.forget_withdrawn_types(accurate_until > self.term_started_at);
         nonexistent
     }
 
--- a/crates/tallygauge-scheduler/src/tests/mod.rs
+++ b/crates/tallygauge-scheduler/src/tests/mod.rs
@@ -7,6 +7,7 @@
 mod heartbeat_requests;
 mod image_locality;
 mod machine_reservations;
+mod machine_types;
 mod machines;
 mod minimum_share;
 mod pending_reasons;
--- a/crates/tallygauge/src/leader/recovery.rs
+++ b/crates/tallygauge/src/leader/recovery.rs
@@ -130,7 +130,7 @@
         .catalogue
         .add_recorded(records.machine_types().types());
     if let Some(types) = controller.catalogue.get() {
-        cluster.set_machine_types(&types);
+        cluster.restore_machine_types(&types);
     }
 }
 
@@ -252,7 +252,7 @@
         // The cloud may have answered since the types were restored. From now on an answer
         // reaches the cluster state itself.
         if let Some(types) = controller.catalogue.get() {
-            cluster.set_machine_types(&types);
+            cluster.restore_machine_types(&types);
         }
         leadership.cluster = Some(cluster);
         leadership.watched_revision = revision;
