Every controller keeps its machine types current, and rejects jobs by no others

What callers saw: a controller that does not lead rejects a job with 422, which users don't repeat, though it fits a type or zone that the cloud has begun to offer since that controller started.

Cause: followers read the types once. Only a leader refreshed them. So a follower's types could be of any age, also where the cloud has been out for as long, and 422 was said of them all the same.

Change: each controller reads the types every eight lags of the machine list, as leaders did. It costs the cloud one request in 32 s from each follower (list lag 4 s).

Test: follower_rejects_jobs_only_by_current_types failed before (422 in place of 201 for a zone that is offered by then) and passes.

--- a/crates/tallygauge-sim/tests/cloud_outage.rs
+++ b/crates/tallygauge-sim/tests/cloud_outage.rs
@@ -5,8 +5,8 @@
 use tallygauge::{controller::Controller, user_api};
 use tallygauge_protocol::users::JobStatus;
 use tallygauge_sim::{
-    LEASE_S, Simulation, count_starts, eventually, is_active_leader, query_status, sleep_s,
-    start_with_leader, submit_job, submit_until_accepted,
+    JobShape, LEASE_S, Simulation, count_starts, eventually, is_active_leader, query_status,
+    sleep_s, start_with_leader, submit_job, submit_until_accepted,
 };
 use tokio::task::JoinHandle;
 
@@ -16,6 +16,9 @@
 /// Time limit for the first start of a task after the controllers are back, in seconds.
 const START_TIMEOUT_S: f64 = 40.0;
 
+/// Age in seconds at which machine types no longer count as current.
+const MAX_TYPE_AGE_S: f64 = 12.0;
+
 /// A controller with its background task.
 type RunningController = (Arc<Controller>, JoinHandle<()>);
 
@@ -145,10 +148,38 @@
     assert_eq!(status_of(12, 12.0).await, 503, "fits no recorded type");
     assert_eq!(status_of(13, 24.0).await, 422, "exceeds the quota");
     simulation.set_faults(|faults| faults.cloud_down = false);
-    assert!(eventually(30.0, async || controller.catalogue.is_current()).await);
+    let has_read = async || controller.catalogue.age_s(controller.now()).is_some();
+    assert!(eventually(30.0, has_read).await);
     assert_eq!(status_of(12, 12.0).await, 422, "fits no type on offer");
 }
 
+// A controller that does not lead read the types once, when it started. It rejected jobs for good
+// that fit a type or a zone which the cloud has offered since, and would have done so after the
+// cloud went out as well.
+#[tokio::test(start_paused = true)]
+async fn follower_rejects_jobs_only_by_current_types() {
+    let (simulation, _leader, _task) = start_with_leader().await;
+    let (follower, _task_b) = simulation.start_controller("n-b");
+    assert!(eventually(30.0, async || follower.catalogue.is_loaded()).await);
+    let status_of = async |number, zone| {
+        let shape = JobShape {
+            zone: Some(zone),
+            ..JobShape::default()
+        };
+        let request = simulation.job_with_shape(number, shape);
+        user_api::submit(&follower, &request.body).await.status()
+    };
+    assert_eq!(status_of(11, "b").await, 422);
+    simulation.state.lock().unwrap().zones = vec!["a", "b"];
+    sleep_s(MAX_TYPE_AGE_S).await;
+    assert_eq!(status_of(12, "b").await, 201, "the zone is offered now");
+    assert_eq!(status_of(13, "c").await, 422);
+    simulation.set_faults(|faults| faults.cloud_down = true);
+    sleep_s(MAX_TYPE_AGE_S).await;
+    assert_eq!(status_of(14, "c").await, 503, "the types may have changed");
+    assert_eq!(status_of(15, "b").await, 201);
+}
+
 // A machine that is rented before its type is on record could not be used by the next leader.
 #[tokio::test(start_paused = true)]
 async fn machines_are_rented_only_once_their_type_is_recorded() {
--- a/crates/tallygauge/src/cloud/catalogue.rs
+++ b/crates/tallygauge/src/cloud/catalogue.rs
@@ -1,14 +1,17 @@
 //! Reading the machine types that the cloud provider offers.
 
 use super::client;
-use crate::controller::Controller;
+use crate::{controller::Controller, machine_types::ReadTime};
 use tallygauge_protocol::cloud::Catalogue;
 use warp::http::Method;
 
 /// Reads the machine types that the cloud provider offers. Returns whether the read succeeded
 /// with at least one type.
 pub async fn refresh_catalogue(controller: &Controller) -> bool {
-    let read_at = controller.unix_time_s();
+    let read_at = ReadTime {
+        now: controller.now(),
+        unix_time_s: controller.unix_time_s(),
+    };
     let response = client::call::<(), Catalogue>(controller, Method::GET, "/catalog", None).await;
     let Ok(Catalogue { types }) = response else {
         return false;
--- a/crates/tallygauge/src/cloud/machine_list.rs
+++ b/crates/tallygauge/src/cloud/machine_list.rs
@@ -1,15 +1,11 @@
 //! Reading the list of machines that the cloud provider runs for the cluster.
 
 use super::{CloudSession, catalogue::refresh_catalogue, client, client::CloudError};
-use crate::controller::Controller;
+use crate::{controller::Controller, machine_types};
 use std::time::Duration;
 use tallygauge_protocol::cloud::{MAX_MACHINES_PER_PAGE, Machine, MachinePage};
 use warp::http::Method;
 
-/// Time between two reads of the machine types, in multiples of the time by which the
-/// machine list may lag behind.
-const CATALOGUE_INTERVAL_LAGS: f64 = 8.0;
-
 /// Time between two checks of which reads are due, as a fraction of the time between
 /// two reads of the machine list.
 const POLL_LIST_INTERVAL_FRACTION: f64 = 0.25;
@@ -18,8 +14,7 @@
 pub(super) async fn run(session: &CloudSession<'_>) {
     let controller = session.controller;
     let list_interval_s = session.list_interval_s();
-    let catalogue_interval_s =
-        controller.settings.deployment.cloud.list_lag_s * CATALOGUE_INTERVAL_LAGS;
+    let catalogue_interval_s = machine_types::refresh_interval(controller).as_secs_f64();
     let (mut listed_at, mut catalogue_read_at) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
     loop {
         if controller.now() - catalogue_read_at > catalogue_interval_s {
--- a/crates/tallygauge/src/lib.rs
+++ b/crates/tallygauge/src/lib.rs
@@ -135,7 +135,7 @@
 /// these. The loops of a leader's term are listed in `leader::background_loops`.
 pub async fn background(controller: Arc<Controller>, version_checks: VersionCheckQueue) {
     tokio::join!(
-        machine_types::load(&controller),
+        machine_types::keep_types_current(&controller),
         leader::run(controller.clone()),
         version_checks.serve(controller.clone()),
         user_api::refresh_active_jobs(controller.clone()),
--- a/crates/tallygauge/src/machine_types.rs
+++ b/crates/tallygauge/src/machine_types.rs
@@ -6,7 +6,7 @@
 //! types from the cloud uses the recorded ones.
 //!
 //! - [`MachineCatalogue`] holds the types that this controller knows.
-//! - `loader` reads them, from the cloud or from the record.
+//! - `loader` reads them, from the cloud or from the record, and keeps them current.
 //! - `record` is the stored form, `shards` distributes the types over several records.
 //! - `recorder` writes the record while this controller leads.
 
@@ -18,8 +18,8 @@
 #[cfg(test)]
 mod test_types;
 
-pub use catalogue::MachineCatalogue;
-pub(crate) use loader::load;
+pub use catalogue::{MachineCatalogue, ReadTime};
+pub(crate) use loader::{are_current, refresh_interval, run as keep_types_current};
 pub use record::MachineTypesRecord;
 pub(crate) use record::RecordedType;
 pub(crate) use recorder::run as record_types;
--- a/crates/tallygauge/src/machine_types/catalogue.rs
+++ b/crates/tallygauge/src/machine_types/catalogue.rs
@@ -12,14 +12,22 @@
 #[derive(Default)]
 pub struct MachineCatalogue(Mutex<KnownTypes>);
 
+/// When the cloud was asked for its machine types, by both clocks.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ReadTime {
+    /// Seconds of the process's monotonic clock.
+    pub now: f64,
+    /// Wall-clock time, in seconds since the Unix epoch.
+    pub unix_time_s: f64,
+}
+
 #[derive(Default)]
 struct KnownTypes {
     /// The types, sorted by name; `None` until any are known. A type that is no longer on
     /// offer has no zones.
     types: Option<Arc<Vec<MachineType>>>,
-    /// Unix time in seconds at which this process last read the types from the cloud; `None`
-    /// if it never has.
-    read_at: Option<f64>,
+    /// When this process last read the types from the cloud; `None` if it never has.
+    read_at: Option<ReadTime>,
     /// Names of the types that the record holds as they are, or that no record can hold.
     recorded: BTreeSet<String>,
     /// When a rental of a type that is not recorded was first due, by name of the type, in
@@ -40,16 +48,15 @@
         lock(&self.0).types.is_some()
     }
 
-    /// Whether the types are what the cloud offers, so that a job that fits none of them
-    /// can be rejected for good.
+    /// Seconds since this process last read the types from the cloud; `None` if it never has,
+    /// so that it knows recorded types at most.
     #[must_use]
-    pub fn is_current(&self) -> bool {
-        lock(&self.0).read_at.is_some()
+    pub fn age_s(&self, now: f64) -> Option<f64> {
+        lock(&self.0).read_at.map(|read_at| now - read_at.now)
     }
 
-    /// Replaces the types by those that the cloud offers. `read_at` is the Unix time in
-    /// seconds at which the cloud was asked.
-    pub fn set_offered(&self, mut offered: Vec<MachineType>, read_at: f64) {
+    /// Replaces the types by those that the cloud offered at `read_at`.
+    pub fn set_offered(&self, mut offered: Vec<MachineType>, read_at: ReadTime) {
         offered.sort_by(|a, b| a.name.cmp(&b.name));
         let mut known = lock(&self.0);
         known.types = Some(Arc::new(offered));
@@ -61,7 +68,7 @@
     /// kept without zones: machines of it may still exist, but none can be rented.
     pub(crate) fn add_recorded(&self, recorded: impl IntoIterator<Item = RecordedType>) {
         let mut known = lock(&self.0);
-        let read_at = known.read_at.unwrap_or(f64::NEG_INFINITY);
+        let read_at = known.read_at.map_or(f64::NEG_INFINITY, |at| at.unix_time_s);
         let types = known.types.iter().flat_map(|types| types.iter().cloned());
         let mut merged: BTreeMap<String, MachineType> =
             types.map(|known| (known.name.clone(), known)).collect();
--- a/crates/tallygauge/src/user_api/submit.rs
+++ b/crates/tallygauge/src/user_api/submit.rs
@@ -6,6 +6,7 @@
 };
 use crate::{
     controller::Controller,
+    machine_types,
     store_keys::{active_job_key, terminal_job_key},
 };
 use serde_json::Value;
@@ -36,8 +37,8 @@
     Infeasible(#[from] InfeasibleJob),
     #[error("the machine types are not known yet")]
     CatalogueUnknown,
-    /// The job fits none of the recorded machine types. Since these were recorded, the cloud
-    /// may have begun to offer one that it fits.
+    /// The job fits none of the machine types as they were recorded, or read too long ago. The
+    /// cloud may have begun to offer one that it fits.
     #[error("{0}, but the machine types may be out of date")]
     CatalogueOutdated(InfeasibleJob),
     #[error("the submission can't be kept")]
@@ -106,19 +107,19 @@
 }
 
 /// Checks that a submission is well-formed and that some machine type and its team's quota
-/// allow the job to run. Recorded machine types suffice to accept a job, but not to reject one
-/// for good.
+/// allow the job to run. Machine types that may be out of date suffice to accept a job, but not
+/// to reject one for good.
 fn validate_spec(controller: &Controller, value: Value) -> Result<JobSpec, SubmissionError> {
     let spec: JobSpec = serde_json::from_value(value)
         .map_err(|error| SubmissionError::InvalidField(error.to_string()))?;
     spec.validate()
         .map_err(|error| SubmissionError::InvalidField(error.to_string()))?;
     let catalogue = controller.catalogue.get();
-    let machine_types = catalogue.ok_or(SubmissionError::CatalogueUnknown)?;
-    match check_feasible(&spec, &controller.settings.teams(), &machine_types) {
+    let known_types = catalogue.ok_or(SubmissionError::CatalogueUnknown)?;
+    match check_feasible(&spec, &controller.settings.teams(), &known_types) {
         Ok(()) => Ok(spec),
         Err(infeasible)
-            if infeasible.depends_on_machine_types() && !controller.catalogue.is_current() =>
+            if infeasible.depends_on_machine_types() && !machine_types::are_current(controller) =>
         {
             Err(SubmissionError::CatalogueOutdated(infeasible))
         }
