Use machines again whose return the cloud refused

What callers saw: while the cloud is out, machines that fall idle, or that were silent for four leases, take no new task, though they are up, report and are paid for. All jobs that come later stay pending until the cloud is back, whatever time that takes.

Cause: what is decided about a machine rests on an answer that only the cloud can give. A return counted as sent from the request on, for ever, since it may be executed late; the cloud's 503 during an outage, by which it was not executed, changed nothing. Found while going through what else a leader has from the cloud alone.

Change: a request to return machines is in flight, unanswered or refused. One that was refused can't be executed: the decision for idleness is revoked and made anew while the machine is empty, and a heartbeat revokes the decision for silence as ever. After no answer the machine stays withheld. 429 is repeated as before. The decision is logged once, not with each repetition.

Two of the cluster state alone show that an unanswered return still withholds the machine.

--- a/crates/tallygauge-scheduler/src/direct_messages.rs
+++ b/crates/tallygauge-scheduler/src/direct_messages.rs
@@ -184,7 +184,7 @@
     /// Why the worker should get a direct message; `None` if it needs none, has no known
     /// endpoint, or is being returned.
     fn direct_message_purpose(&self) -> Option<MessagePurpose> {
-        if self.endpoint.is_empty() || self.return_sent {
+        if self.endpoint.is_empty() || self.return_request.may_be_executed() {
             return None;
         }
         let is_fenced = self.fencing_token_seen_at.is_some();
--- a/crates/tallygauge-scheduler/src/model/worker.rs
+++ b/crates/tallygauge-scheduler/src/model/worker.rs
@@ -1,7 +1,7 @@
 //! Machines with their workers: attempts, state of the agent's messages, and images.
 
 use super::*;
-use crate::events::ClusterEvent;
+use crate::{events::ClusterEvent, return_requests::ReturnRequest};
 use std::collections::{BTreeMap, BTreeSet};
 use tallygauge_health::{MessageOrder, Reachability};
 use tallygauge_protocol::{cloud::MachineType, users::JobSpec};
@@ -105,8 +105,8 @@
     /// Whether the open jobs do not need it. A surplus machine is the last choice for new
     /// tasks and is returned as soon as it is empty.
     pub surplus: bool,
-    /// Whether its return was sent to the cloud, so that it may disappear at any time.
-    pub return_sent: bool,
+    /// The last request to return it.
+    pub return_request: ReturnRequest,
     /// Whether a direct message to it is in flight.
     pub direct_message_in_flight: bool,
     /// Whether it was asked for a heartbeat since the last periodic one.
@@ -158,7 +158,7 @@
             images: ImageCache::default(),
             return_decisions: ReturnDecisions::default(),
             surplus: false,
-            return_sent: false,
+            return_request: ReturnRequest::None,
             direct_message_in_flight: false,
             heartbeat_requested: false,
             held_response: None,
@@ -204,10 +204,14 @@
     }
 
     /// Revokes the decisions to return the machine that were made for these reasons, unless
-    /// the return has been sent.
+    /// a request to return it may be executed.
     pub(crate) fn revoke_return(&mut self, reasons: &[ReturnReason]) {
-        if !self.return_sent {
-            self.return_decisions.revoke(reasons);
+        if self.return_request.may_be_executed() {
+            return;
+        }
+        self.return_decisions.revoke(reasons);
+        if !self.is_being_returned() {
+            self.keep_undelivered_attempts();
         }
     }
 
--- a/crates/tallygauge-scheduler/src/scale_in.rs
+++ b/crates/tallygauge-scheduler/src/scale_in.rs
@@ -8,7 +8,10 @@
 //! soon as it is empty. Otherwise, small tasks spread over many machines would keep all of
 //! them from becoming empty.
 
-use crate::{cluster_state::ClusterState, demand_history::DemandHistory, model::*};
+use crate::{
+    cluster_state::ClusterState, demand_history::DemandHistory, model::*,
+    return_requests::ReturnRequest,
+};
 
 /// Minimum time that the cloud charges for a machine, even if it is returned earlier. A
 /// machine does not become surplus before that.
@@ -221,12 +224,15 @@
                     .idle_since
                     .max(self.term_started_at)
                     .max(worker.incarnation_seen_at);
+            if !is_empty && worker.return_request == ReturnRequest::Refused {
+                worker.return_request = ReturnRequest::None;
+            }
             if !worker.is_being_returned()
                 && is_empty
                 && worker.fencing_token_seen_at.is_some()
                 && (idle_s > boot_s * idle_timeout_boot_times || worker.surplus)
             {
-                worker.decide_return(ReturnReason::Idle, now, &mut self.events);
+                worker.decide_idle_return(now, &mut self.events);
             }
         }
     }
@@ -261,16 +267,6 @@
             ReturnReason::Faulty | ReturnReason::Slow | ReturnReason::Idle => false,
         }
     }
-
-    /// Records that a request to return machines is being sent. From now on, the
-    /// machines may disappear at any time.
-    pub fn mark_return_sent(&mut self, names: &[String]) {
-        for name in names {
-            if let Some(worker) = self.workers.get_mut(name) {
-                worker.return_sent = true;
-            }
-        }
-    }
 }
 
 /// Index in `types` of a worker's machine type.
--- a/crates/tallygauge-scheduler/src/tests/return_decisions.rs
+++ b/crates/tallygauge-scheduler/src/tests/return_decisions.rs
@@ -153,3 +153,50 @@
         );
     }
 }
+
+/// A cluster whose only machine is idle for long enough to be returned at the returned time.
+fn cluster_with_idle_machine() -> (ClusterState, f64) {
+    let mut c = cluster(&["sa"], 100.0);
+    let idle_at = 150.0;
+    send_empty_heartbeats(&mut c, idle_at);
+    assert_eq!(return_reason(&mut c, idle_at), Some(ReturnReason::Idle));
+    c.mark_return_sent(&["sa".into()]);
+    (c, idle_at)
+}
+
+// While the cloud refuses returns, idle machines must be used. But a request without an answer
+// may be executed later, whatever became of those after it: tasks placed there would be lost.
+#[test]
+fn idle_machine_is_used_after_a_refused_return_but_not_after_an_unanswered_one() {
+    for is_unanswered in [false, true] {
+        let (mut c, now) = cluster_with_idle_machine();
+        if is_unanswered {
+            c.record_return_unanswered(&["sa".into()]);
+            c.mark_return_sent(&["sa".into()]);
+        }
+        c.record_return_refused(&["sa".into()]);
+        c.add_job(spec(1, 1, 1.0), 1, now, &RangeSet::default());
+        let placed = round(&mut c, now).len();
+        assert_eq!(placed, usize::from(!is_unanswered));
+    }
+}
+
+// Every machine that waits for a request of its own would stay withheld: a request returns a
+// limited number of machines. The decision is not reported each time that it is made again.
+#[test]
+fn refused_return_releases_idle_machines_that_no_request_was_sent_for() {
+    let (mut c, now) = cluster_with_idle_machine();
+    c.events.clear();
+    c.record_return_refused(&[]);
+    assert!(
+        c.workers["sa"].is_being_returned(),
+        "its request is in flight"
+    );
+    c.mark_return_sent(&[]);
+    c.record_return_refused(&["sa".into()]);
+    assert!(!c.workers["sa"].is_being_returned());
+    assert_eq!(return_reason(&mut c, now), Some(ReturnReason::Idle));
+    c.record_return_refused(&[]);
+    assert!(!c.workers["sa"].is_being_returned());
+    assert!(c.events.is_empty(), "{:?}", c.events);
+}
--- a/crates/tallygauge-scheduler/src/undelivered_starts.rs
+++ b/crates/tallygauge-scheduler/src/undelivered_starts.rs
@@ -174,6 +174,20 @@
         })
     }
 
+    /// Drops the decisions to drain attempts that were never observed and whose start may still
+    /// arrive. No report confirms their end, so on a machine that is kept they would wait for it.
+    pub(crate) fn keep_undelivered_attempts(&mut self) {
+        for attempt in &mut self.attempts {
+            let is_drained = attempt
+                .stop
+                .is_some_and(|stop| stop.reason == StopReason::Drained);
+            let is_unseen = attempt.phase == AttemptPhase::Recorded;
+            if attempt.start_undelivered && is_unseen && is_drained {
+                attempt.stop = None;
+            }
+        }
+    }
+
     /// Whether a start of a cancelled attempt was given up and may still arrive.
     pub(crate) fn has_undelivered_cancelled_start(&self) -> bool {
         let mut attempts = self.attempts.iter();
--- a/crates/tallygauge-sim/tests/cloud_outage.rs
+++ b/crates/tallygauge-sim/tests/cloud_outage.rs
@@ -6,7 +6,7 @@
 use tallygauge_protocol::users::JobStatus;
 use tallygauge_sim::{
     JobShape, LEASE_S, Simulation, count_starts, eventually, is_active_leader, query_status,
-    sleep_s, start_with_leader, submit_job, submit_until_accepted,
+    sleep_s, start_with_booted_machines, start_with_leader, submit_job, submit_until_accepted,
 };
 use tokio::task::JoinHandle;
 
@@ -128,6 +128,35 @@
     assert_job_completes(&simulation, &controller, &id).await;
 }
 
+// Machines that fall idle are returned. While the cloud is out it refuses the returns, and the
+// machines were withheld from new tasks until it was back, however long that took.
+#[tokio::test(start_paused = true)]
+async fn machines_whose_return_the_cloud_refused_are_used_for_new_tasks() {
+    let (simulation, controllers, id) = start_cloud_outage_while_machines_boot().await;
+    let controller = &controllers[0].0;
+    assert_job_completes(&simulation, controller, &id).await;
+    sleep_s(LEASE_S * 3.0).await;
+    let second = submit_job(&simulation, controller, 2, 2, 4.0, 5.0).await;
+    assert_job_completes(&simulation, controller, &second).await;
+    simulation.set_faults(|faults| faults.cloud_down = false);
+    let is_returned = async || simulation.booted_machines().is_empty();
+    assert!(eventually(LEASE_S * 3.0, is_returned).await, "not returned");
+}
+
+// As above, for a machine that was to be returned since nothing was received from it: a partition of
+// its zone, which is over while the cloud is still out.
+#[tokio::test(start_paused = true)]
+async fn machine_whose_return_as_silent_was_refused_is_used_once_it_reports_again() {
+    let (simulation, controller, _task) = start_with_booted_machines(1).await;
+    let machine = simulation.booted_machines().remove(0);
+    simulation.set_faults(|faults| faults.cloud_down = true);
+    simulation.set_worker_partitioned(&machine, true);
+    sleep_s(LEASE_S * 5.0).await;
+    simulation.set_worker_partitioned(&machine, false);
+    let id = submit_job(&simulation, &controller, 1, 1, 4.0, 5.0).await;
+    assert_job_completes(&simulation, &controller, &id).await;
+}
+
 // A controller that started in the outage knows recorded types alone. It must accept what can
 // run by them. A job that fits none of them may fit a type that is offered since: it must not
 // be rejected for good, while one that exceeds its team's quota must be.
--- a/crates/tallygauge/src/cloud/returns.rs
+++ b/crates/tallygauge/src/cloud/returns.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 use tallygauge_protocol::cloud::{MAX_MACHINES_PER_RETURN, MachineNames};
 use tallygauge_scheduler::ReturnableMachine;
-use tallygauge_store::http::HttpResult;
+use tallygauge_store::http::{HttpResult, RequestError};
 use warp::http::{Method, StatusCode};
 
 /// Time between two updates of the surplus marks, in heartbeat intervals.
@@ -71,6 +71,7 @@
     let now = controller.now();
     if !matches!(response, Ok((StatusCode::OK, _))) {
         log_failed_return(&machines, &response, is_failing);
+        record_failure(controller, &request.names, &response);
         return ReturnOutcome::Failed;
     }
     controller.with_cluster(|cluster| {
@@ -85,6 +86,18 @@
     ReturnOutcome::Returned
 }
 
+/// Records what a failure means for the machines: after a response, and if nothing was sent,
+/// they were certainly not returned.
+fn record_failure(controller: &Controller, names: &[String], response: &HttpResult) {
+    controller.with_cluster(|cluster| match response {
+        // The request is repeated as soon as the rate limit allows.
+        Ok((StatusCode::TOO_MANY_REQUESTS, _)) => {}
+        Ok(_) | Err(RequestError::NotSent) => cluster.record_return_refused(names),
+        Err(RequestError::NoResponse) => cluster.record_return_unanswered(names),
+    });
+    controller.wake_scheduler.notify_one();
+}
+
 fn log_failed_return(machines: &[ReturnableMachine], response: &HttpResult, is_repeated: bool) {
     let status = response.as_ref().ok().map(|(status, _)| status.as_u16());
     let count_unconfirmed = machines
