Machine types: tests of a large catalogue and of two restarts of all controllers

400 types, more than a value and more than a transaction holds, are recorded and recovered in whole. All controllers restart twice within one outage of the cloud. A type that is too large for any record is logged once per process, not with each read of the types.

--- a/crates/tallygauge-sim/src/cloud.rs
+++ b/crates/tallygauge-sim/src/cloud.rs
@@ -50,7 +50,7 @@
     /// Whether the cloud offers the machine type with this name.
     fn offers(&self, machine_type: &Value) -> bool {
         let mut offered = self.machine_types.iter();
-        offered.any(|name| machine_type == name)
+        offered.any(|name| machine_type.as_str() == Some(name))
     }
 
     /// The list of all rented machines.
--- a/crates/tallygauge-sim/src/state.rs
+++ b/crates/tallygauge-sim/src/state.rs
@@ -83,7 +83,7 @@
     pub boot_time_s: f64,
     /// Names of the machine types that the cloud offers, cheapest first. They differ in
     /// nothing but the price.
-    pub machine_types: Vec<&'static str>,
+    pub machine_types: Vec<String>,
     /// Zones in which the cloud offers machines.
     pub zones: Vec<&'static str>,
     /// Quota of each team: total CPUs that its running tasks may use.
@@ -134,7 +134,7 @@
             rental_requests: HashMap::new(),
             next_machine_number: 0,
             boot_time_s: DEFAULT_BOOT_TIME_S,
-            machine_types: vec![DEFAULT_MACHINE_TYPE],
+            machine_types: vec![DEFAULT_MACHINE_TYPE.into()],
             zones: vec!["a"],
             team_quota_cpus: TEAM_QUOTA_CPUS,
             endpoints: HashMap::new(),
--- a/crates/tallygauge-sim/tests/cloud_outage.rs
+++ b/crates/tallygauge-sim/tests/cloud_outage.rs
@@ -58,14 +58,17 @@
 // started on them.
 #[tokio::test(start_paused = true)]
 async fn tasks_start_after_all_controllers_restart_during_a_cloud_outage() {
-    let (simulation, controllers, id) = start_cloud_outage_while_machines_boot().await;
-    for (controller, task) in &controllers {
-        simulation.crash_controller(&controller.settings.node_name, task);
+    let (simulation, mut controllers, id) = start_cloud_outage_while_machines_boot().await;
+    for names in [["n-c", "n-d"], ["n-e", "n-f"]] {
+        for (controller, task) in &controllers {
+            simulation.crash_controller(&controller.settings.node_name, task);
+        }
+        sleep_s(LEASE_S * 0.4).await;
+        controllers = names.map(|name| simulation.start_controller(name));
+        let leads = async || controllers.iter().any(|(c, _)| is_active_leader(c));
+        assert!(eventually(30.0, leads).await);
     }
-    sleep_s(4.0).await;
-    let (_controller_c, _task_c) = simulation.start_controller("n-c");
-    let (controller_d, _task_d) = simulation.start_controller("n-d");
-    assert_job_completes(&simulation, &controller_d, &id).await;
+    assert_job_completes(&simulation, &controllers[1].0, &id).await;
 }
 
 // As above, but one controller after the other restarts, twice, so that at every time one of
@@ -98,6 +101,27 @@
     assert_job_completes(&simulation, &controller_c, &id).await;
 }
 
+// The types exceed a value of the store and all that one transaction may hold.
+#[tokio::test(start_paused = true)]
+async fn catalogue_larger_than_a_transaction_is_recorded_in_whole() {
+    let simulation = Simulation::new();
+    tokio::spawn(simulation.clone().run_workers());
+    let names: Vec<String> = (0..400).map(|n| format!("type-{n:03}")).collect();
+    simulation.state.lock().unwrap().machine_types = names.clone();
+    let (leader, task) = simulation.start_controller("n-a");
+    assert!(eventually(30.0, async || is_active_leader(&leader)).await);
+    sleep_s(LEASE_S * 0.5).await;
+    assert!(simulation.count_keys("s/types") > 8);
+    simulation.set_faults(|faults| faults.cloud_down = true);
+    simulation.crash_controller("n-a", &task);
+    let (controller, _task) = simulation.start_controller("n-b");
+    assert!(eventually(30.0, async || is_active_leader(&controller)).await);
+    let recovered = controller.with_cluster(|cluster| cluster.known_machine_types());
+    let recovered = recovered.unwrap_or_default().into_iter();
+    let recovered: Vec<String> = recovered.map(|known| known.name).collect();
+    assert_eq!(recovered, names);
+}
+
 // A new leader ignored that it could not read the leader's records, and led without them for the
 // rest of its term: without the machine types in an outage of the cloud, without cutoffs and ranks
 // at any time.
@@ -119,11 +143,11 @@
 #[tokio::test(start_paused = true)]
 async fn rejected_rental_is_not_repeated() {
     let simulation = Simulation::new();
-    simulation.state.lock().unwrap().machine_types = vec!["c8", "d8"];
+    simulation.state.lock().unwrap().machine_types = vec!["c8".into(), "d8".into()];
     tokio::spawn(simulation.clone().run_workers());
     let (controller, _task) = simulation.start_controller("n-a");
     assert!(eventually(30.0, async || is_active_leader(&controller)).await);
-    simulation.state.lock().unwrap().machine_types = vec!["d8"];
+    simulation.state.lock().unwrap().machine_types = vec!["d8".into()];
     let id = submit_job(&simulation, &controller, 1, 2, 4.0, 5.0).await;
     assert_job_completes(&simulation, &controller, &id).await;
 }
--- a/crates/tallygauge/src/machine_types/recorder.rs
+++ b/crates/tallygauge/src/machine_types/recorder.rs
@@ -24,7 +24,7 @@
     state::{Condition, Transaction, Write},
 };
 use tallygauge_records::encode;
-use tallygauge_store::{RequestPriority, TransactionOutcome};
+use tallygauge_store::{RequestPriority, TransactionOutcome, is_first_occurrence};
 
 /// Records the machine types of the cluster state whenever they have changed, for as long as
 /// this controller leads. Never returns.
@@ -80,12 +80,7 @@
         names.extend(recorded.into_iter().map(str::to_string));
         for machine_type in types {
             if !fits_shard(machine_type, self.max_shard_bytes) {
-                tracing::warn!(
-                    machine_type = machine_type.name,
-                    bytes = encoded_bytes(machine_type),
-                    max_bytes = self.max_shard_bytes,
-                    "machine type is too large to be recorded"
-                );
+                self.warn_too_large(machine_type);
                 names.insert(machine_type.name.clone());
             }
         }
@@ -93,6 +88,18 @@
         self.controller.wake_rentals.notify_one();
     }
 
+    /// Logs a type that is too large for any record, once per process.
+    fn warn_too_large(&self, machine_type: &MachineType) {
+        if is_first_occurrence(&format!("too large: machine type {}", machine_type.name)) {
+            tracing::warn!(
+                machine_type = machine_type.name,
+                bytes = encoded_bytes(machine_type),
+                max_bytes = self.max_shard_bytes,
+                "machine type is too large to be recorded"
+            );
+        }
+    }
+
     /// Commits shards in one transaction. Returns whether it was executed; if not, what is
     /// stored has been read again.
     async fn commit(&mut self, batch: Vec<ShardWrite>) -> bool {
