--- a/crates/tallygauge-locality/src/image_index.rs
+++ b/crates/tallygauge-locality/src/image_index.rs
@@ -1,7 +1,8 @@
 //! Index of which machines hold which images, which a leader stores for its successor.
 
-use crate::image_locations::{
-    ImageEntry, ImageLocations, MAX_BYTES_PER_NAME_BYTE, MachineNameFormat,
+use crate::{
+    image::Image,
+    image_locations::{ImageEntry, ImageLocations, MAX_BYTES_PER_NAME_BYTE, MachineNameFormat},
 };
 use roaring::RoaringBitmap;
 use std::collections::{BTreeMap, HashMap};
@@ -26,8 +27,8 @@
 /// a wrong entry costs only fetch time and violates no constraint.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ImageIndex {
-    /// Names of the images with their sizes in GB, by name of the machine.
-    by_machine: BTreeMap<String, Vec<(String, f64)>>,
+    /// The images, by name of the machine.
+    by_machine: BTreeMap<String, Vec<Image>>,
 }
 
 impl ImageIndex {
@@ -74,17 +75,19 @@
             for number in &machines {
                 let machine = shard.name_format.name_of(number);
                 let images = self.by_machine.entry(machine).or_default();
-                if !images.iter().any(|(name, _)| *name == entry.name) {
-                    images.push((entry.name.clone(), entry.gb));
+                if !images.iter().any(|image| image.name == entry.name) {
+                    images.push(Image {
+                        name: entry.name.clone(),
+                        gb: entry.gb,
+                    });
                 }
             }
         }
         corrupt_entries
     }
 
-    /// Removes and returns the images of a machine, each with its size in GB. Called when the
-    /// machine registers.
-    pub fn take_images_of(&mut self, machine: &str) -> Vec<(String, f64)> {
+    /// Removes and returns the images of a machine. Called when the machine registers.
+    pub fn take_images_of(&mut self, machine: &str) -> Vec<Image> {
         self.by_machine.remove(machine).unwrap_or_default()
     }
 
--- a/crates/tallygauge-locality/src/image_index/tests.rs
+++ b/crates/tallygauge-locality/src/image_index/tests.rs
@@ -28,9 +28,9 @@
         }
         let mut restored = BTreeSet::new();
         for (n, name) in machine_names.iter().enumerate() {
-            for (image, gb) in index.take_images_of(name) {
-                let i: u8 = image[4..].parse().unwrap();
-                prop_assert_eq!(gb, f64::from(i) + 0.5);
+            for image in index.take_images_of(name) {
+                let i: u8 = image.name[4..].parse().unwrap();
+                prop_assert_eq!(image.gb, f64::from(i) + 0.5);
                 restored.insert((n as u32, i));
             }
         }
--- a/crates/tallygauge-locality/src/lib.rs
+++ b/crates/tallygauge-locality/src/lib.rs
@@ -11,10 +11,12 @@
 //! would take down. The scheduler's mapping uses it. `docs/locality.md` gives the reasons
 //! for the rules.
 
+mod image;
 mod image_index;
 mod image_locations;
 mod replica_spread;
 
+pub use image::Image;
 pub use image_index::{CachedImage, ImageIndex};
 pub use image_locations::ImageLocations;
 pub use replica_spread::{ReplicaCounts, ReplicaSpread};
--- a/crates/tallygauge-scheduler/src/image_locality.rs
+++ b/crates/tallygauge-scheduler/src/image_locality.rs
@@ -38,12 +38,12 @@
                 .map_or(DEFAULT_FETCH_GB_PER_S, |t| t.fetch_gb_per_s)
                 .max(MIN_FETCH_GB_PER_S);
             let cached = worker.images.cached.iter();
-            let fully_fetched = cached.filter(|i| !worker.images.fetching.contains_key(&i.0));
-            images.extend(fully_fetched.map(|(image, gb)| CachedImage {
+            let fully_fetched = cached.filter(|i| !worker.images.fetching.contains_key(&i.name));
+            images.extend(fully_fetched.map(|image| CachedImage {
                 machine: &worker.name,
-                image,
-                gb: *gb,
-                fetch_s: gb / gb_per_s,
+                image: &image.name,
+                gb: image.gb,
+                fetch_s: image.gb / gb_per_s,
             }));
         }
         ImageIndex::build_shards(&images, min_fetch_s, shard_bytes, max_shards)
--- a/crates/tallygauge-scheduler/src/tests/image_locality.rs
+++ b/crates/tallygauge-scheduler/src/tests/image_locality.rs
@@ -1,6 +1,7 @@
 //! Tests of image locations across leader failovers, and of the spread of replicas.
 
 use super::*;
+use tallygauge_locality::Image;
 
 /// A service with an 18 GB image, which takes 60 s to fetch at the 0.3 GB/s of a large
 /// machine.
@@ -17,7 +18,10 @@
 /// Adds an image to those that the scheduler assumes a machine has cached.
 fn cache_image(cluster: &mut ClusterState, machine: &str, image: &str, gb: f64) {
     let worker = cluster.workers.get_mut(machine).unwrap();
-    worker.images.cached.push((image.into(), gb));
+    worker.images.cached.push(Image {
+        name: image.into(),
+        gb,
+    });
 }
 
 /// A cluster whose teams' CPU quotas exceed what any of these tests use.
@@ -52,7 +56,10 @@
     }
     assert_eq!(
         cluster.workers["l-3"].images.cached,
-        [("llm".to_string(), 18.0)]
+        [Image {
+            name: "llm".into(),
+            gb: 18.0
+        }]
     );
     assert!(
         cluster.workers["l-4"].images.cached.is_empty(),
--- a/crates/tallygauge-sim/tests/batch_deadlines.rs
+++ b/crates/tallygauge-sim/tests/batch_deadlines.rs
@@ -271,7 +271,7 @@
     let cached_count = |controller: &Controller| {
         let count = controller.with_cluster(|cluster| {
             let has_image =
-                |w: &&tallygauge_scheduler::Worker| w.images.cached.iter().any(|i| i.0 == "i");
+                |w: &&tallygauge_scheduler::Worker| w.images.cached.iter().any(|i| i.name == "i");
             cluster.workers.values().filter(has_image).count()
         });
         count.unwrap_or(0)
