One boot time for unknown types, and one place that reads the leader's records

The boot time assumed for a machine of an unknown type stood in two modules as 60 s and in a third as 30 s (the backoff of a kind whose type is not known, which is not rented); machine_types.rs has it once. leader_records.rs listed the records in three ways; stored.rs reads them, leader_records.rs writes them.

--- a/crates/tallygauge-scheduler/src/machine_types.rs
+++ b/crates/tallygauge-scheduler/src/machine_types.rs
@@ -3,9 +3,19 @@
 //! none of its kinds can be rented.
 
 use crate::{cluster_state::ClusterState, model::*};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use tallygauge_protocol::cloud::MachineType;
 
+/// Boot time assumed for a machine of an unknown type, in seconds.
+const DEFAULT_BOOT_S: f64 = 60.0;
+
+/// Typical boot time of a machine of this type, in seconds.
+pub(crate) fn boot_s(types: &HashMap<String, MachineType>, machine_type: &str) -> f64 {
+    types
+        .get(machine_type)
+        .map_or(DEFAULT_BOOT_S, |known| known.boot_s)
+}
+
 impl ClusterState {
     /// Replaces the machine types on offer, with their prices, by what the cloud offers now. A
     /// known type that is not among them is withdrawn.
--- a/crates/tallygauge-scheduler/src/machines.rs
+++ b/crates/tallygauge-scheduler/src/machines.rs
@@ -1,6 +1,6 @@
 //! Machines: registration, and the decision to return a machine to the cloud.
 
-use crate::{cluster_state::ClusterState, model::*};
+use crate::{cluster_state::ClusterState, machine_types::boot_s, model::*};
 use std::collections::{BTreeSet, HashMap};
 use tallygauge_protocol::{
     cloud::{Machine, MachineState},
@@ -17,9 +17,6 @@
 /// of its type's boot time.
 const BOOT_TIMEOUT_BOOT_TIMES: f64 = 4.0;
 
-/// Boot time assumed for a machine of an unknown type, in seconds.
-const DEFAULT_BOOT_S: f64 = 60.0;
-
 /// Number of tasks whose run times must have been compared with those on other machines
 /// before a machine may be returned as slow.
 const MIN_COMPARED_TASKS: u32 = 3;
@@ -232,10 +229,7 @@
     /// Whether a machine that has not booted has had enough time to, and this leader has
     /// led for longer than a lease.
     fn has_boot_timed_out(&self, worker: &Worker, now: f64) -> bool {
-        let boot_s = self
-            .machine_types
-            .get(&worker.machine_type)
-            .map_or(DEFAULT_BOOT_S, |t| t.boot_s);
+        let boot_s = boot_s(&self.machine_types, &worker.machine_type);
         now - worker.rented_at > boot_s * BOOT_TIMEOUT_BOOT_TIMES
             && now - self.term_started_at > self.config.lease_s
     }
--- a/crates/tallygauge-scheduler/src/scale_in.rs
+++ b/crates/tallygauge-scheduler/src/scale_in.rs
@@ -9,7 +9,7 @@
 //! them from becoming empty.
 
 use crate::{
-    cluster_state::ClusterState, demand_history::DemandHistory, model::*,
+    cluster_state::ClusterState, demand_history::DemandHistory, machine_types::boot_s, model::*,
     return_requests::ReturnRequest,
 };
 
@@ -22,9 +22,6 @@
 /// boot time.
 const WARM_UP_BOOTS: f64 = 2.0;
 
-/// Boot time assumed for a machine of an unknown type, in seconds.
-const DEFAULT_BOOT_S: f64 = 60.0;
-
 /// Size of a machine type.
 struct TypeSize {
     cpus: f64,
@@ -214,10 +211,7 @@
     fn decide_idle_returns(&mut self, now: f64) {
         let idle_timeout_boot_times = self.config.idle_timeout_boot_times;
         for worker in self.workers.values_mut() {
-            let boot_s = self
-                .machine_types
-                .get(&worker.machine_type)
-                .map_or(DEFAULT_BOOT_S, |t| t.boot_s);
+            let boot_s = boot_s(&self.machine_types, &worker.machine_type);
             let is_empty = !worker.attempts.iter().any(Attempt::occupies_capacity);
             let idle_s = now
                 - worker
--- a/crates/tallygauge-scheduler/src/scale_out.rs
+++ b/crates/tallygauge-scheduler/src/scale_out.rs
@@ -7,8 +7,8 @@
 mod rental_plan;
 
 use crate::{
-    cluster_state::ClusterState, machine_reservations::MachineReservations, mapping::TaskGroup,
-    model::*,
+    cluster_state::ClusterState, machine_reservations::MachineReservations, machine_types::boot_s,
+    mapping::TaskGroup, model::*,
 };
 use rental_plan::{KindRef, PackableMachine, RentalPlan, UnplaceableTasks};
 use std::collections::BTreeMap;
@@ -38,10 +38,7 @@
     /// not requested again until a backoff time has passed, which grows with each refusal
     /// up to the third.
     pub fn record_no_capacity(&mut self, kind: &MachineKind, now: f64) {
-        let boot_s = self
-            .machine_types
-            .get(&kind.machine_type)
-            .map_or(30.0, |machine_type| machine_type.boot_s);
+        let boot_s = boot_s(&self.machine_types, &kind.machine_type);
         let backoff = self.capacity_backoff.entry(kind.clone()).or_default();
         backoff.refusals = (backoff.refusals + 1).min(3);
         backoff.until = now + boot_s * 0.1 * f64::from(1u32 << backoff.refusals);
--- a/crates/tallygauge/src/leader_records.rs
+++ b/crates/tallygauge/src/leader_records.rs
@@ -1,23 +1,24 @@
 //! Auxiliary records of the leader in the key-value store. They are read once when a term
 //! begins, and written asynchronously (write-behind), many records per transaction.
 
+mod stored;
+
+pub use stored::{StoredRecords, load};
+pub(crate) use stored::{load_machine_types, record_key};
+
 use crate::{
     controller::Controller,
     deadline_settings::CutoffSettings,
     leader_transaction::{max_writes, new_transaction},
-    machine_types::{MachineTypesRecord, StoredTypes},
     pacing::heartbeat_intervals,
     scheduling_loop::max_record_bytes,
 };
-use serde_json::Value;
 use std::{collections::BTreeMap, sync::Arc};
-use tallygauge_protocol::state::{Condition, KeyValue, Transaction, Write};
-use tallygauge_records::{Record, StagedRecords, WriteBatch, decode, record_name};
+use stored::{list_all, versions};
+use tallygauge_protocol::state::{Condition, Transaction, Write};
+use tallygauge_records::{StagedRecords, WriteBatch};
 use tallygauge_scheduler::{PriorityRules, RulesChange};
-use tallygauge_store::{Listing, RequestPriority, StoreError, TransactionOutcome};
-
-/// Key prefix of the leader's records.
-const KEY_PREFIX: &str = "s/";
+use tallygauge_store::{RequestPriority, StoreError, TransactionOutcome};
 
 /// Pause between two stagings of changed records, in heartbeat intervals.
 const STAGE_HEARTBEAT_INTERVALS: f64 = 2.0;
@@ -34,107 +35,6 @@
 /// Bytes reserved in a record for what its encoding adds.
 const ENCODING_OVERHEAD_BYTES: usize = 64;
 
-/// A record's stored value and the version of its key.
-#[derive(Debug, Clone)]
-struct VersionedValue {
-    value: Value,
-    version: u64,
-}
-
-/// The leader's records as they were stored when the term began, by name.
-#[derive(Debug, Default, Clone)]
-pub struct StoredRecords {
-    entries: BTreeMap<String, VersionedValue>,
-    /// The stored cutoffs, which are in force.
-    pub cutoffs: Option<CutoffSettings>,
-}
-
-impl StoredRecords {
-    /// Decodes a record, or one of its shards. A record that cannot be decoded is logged and
-    /// treated as missing.
-    #[must_use]
-    pub fn decode<T: Record>(&self, shard: Option<usize>) -> Option<T> {
-        let name = record_name::<T>(shard);
-        let value = self.entries.get(&name).map(|entry| entry.value.clone());
-        match decode(value) {
-            Ok(stored) => stored.map(|stored| stored.record),
-            Err(error) => {
-                tracing::warn!(
-                    record = name,
-                    %error,
-                    "ignored an unreadable leader record, it will be rebuilt"
-                );
-                None
-            }
-        }
-    }
-
-    /// The machine types that leaders have recorded.
-    pub(crate) fn machine_types(&self) -> StoredTypes {
-        let entries = self.entries.iter();
-        StoredTypes::decode(
-            entries.map(|(name, entry)| (name.as_str(), &entry.value, entry.version)),
-        )
-    }
-
-    /// Decodes all shards of a record.
-    #[must_use]
-    pub fn decode_shards<T: Record>(&self) -> Vec<T> {
-        (0..MAX_IMAGE_LOCATION_SHARDS)
-            .filter_map(|shard| self.decode(Some(shard)))
-            .collect()
-    }
-}
-
-/// Reads the records that earlier leaders stored. Missing or unreadable records never keep
-/// a controller from leading.
-///
-/// # Errors
-/// If the store does not answer. The caller has to retry: without the records the leader would
-/// not know the machine types while the cloud is out, nor the cutoffs and ranks in force.
-pub async fn load(controller: &Controller) -> Result<StoredRecords, StoreError> {
-    let mut stored = StoredRecords::default();
-    let listing = controller
-        .store
-        .list(RequestPriority::Leadership, KEY_PREFIX)
-        .await?;
-    for KeyValue {
-        key,
-        value,
-        version,
-    } in listing.entries
-    {
-        if let Some(name) = key.strip_prefix(KEY_PREFIX) {
-            let entry = VersionedValue { value, version };
-            stored.entries.insert(name.to_string(), entry);
-        }
-    }
-    stored.cutoffs = stored.decode(None);
-    Ok(stored)
-}
-
-/// Reads the machine types that leaders have recorded.
-///
-/// # Errors
-/// If the store does not answer.
-pub(crate) async fn load_machine_types(
-    controller: &Controller,
-    priority: RequestPriority,
-) -> Result<StoredTypes, StoreError> {
-    let prefix = record_key(MachineTypesRecord::NAME);
-    let listing = controller.store.list(priority, &prefix).await?;
-    let records = listing.entries.iter().filter_map(|entry| {
-        let name = entry.key.strip_prefix(KEY_PREFIX)?;
-        Some((name, &entry.value, entry.version))
-    });
-    Ok(StoredTypes::decode(records))
-}
-
-/// Key of the leader record with this name.
-pub(crate) fn record_key(name: &str) -> String {
-    format!("{KEY_PREFIX}{name}")
-}
-
 /// Writes the leader's records for as long as this controller leads. Declared settings are
 /// written ahead, that is before they are put into force; all other records are written
 /// behind. A record for which the request budget does not suffice is written later. Never
@@ -170,16 +70,11 @@
         stored: &StoredRecords,
     ) -> Self {
         let max_record_bytes = max_record_bytes(controller);
-        let versions = stored
-            .entries
-            .iter()
-            .map(|(name, entry)| (name.clone(), entry.version))
-            .collect();
         Self {
             controller,
             term_condition,
             records: StagedRecords::new(max_record_bytes),
-            versions,
+            versions: versions(&stored.entries),
             max_record_bytes,
             status_logged_at: controller.now(),
         }
@@ -357,19 +252,8 @@
     }
 
     async fn reload_versions(&mut self) {
-        let listing = self
-            .controller
-            .store
-            .list(RequestPriority::Maintenance, KEY_PREFIX)
-            .await;
-        if let Ok(Listing { entries, .. }) = listing {
-            self.versions = entries
-                .into_iter()
-                .filter_map(|entry| {
-                    let name = entry.key.strip_prefix(KEY_PREFIX)?;
-                    Some((name.to_string(), entry.version))
-                })
-                .collect();
+        if let Ok(entries) = list_all(self.controller, RequestPriority::Maintenance).await {
+            self.versions = versions(&entries);
         }
     }
 
