Recorder: never write an empty record of machine types

By reading: a leader that has just stepped down has no cluster state, which the recorder took for a cluster without machine types. Woken in the same step it would have begun to write empty shards under a term that is still the last one. It writes nothing now while it knows no types. Not shown by a test: the write is dropped with the term before the simulated store has it.

--- a/crates/tallygauge/src/machine_types/recorder.rs
+++ b/crates/tallygauge/src/machine_types/recorder.rs
@@ -49,10 +49,10 @@
 }
 
 impl Recorder<'_> {
-    /// Writes all changes, and retries until they are durable.
+    /// Writes all changes, and retries until they are durable. Does nothing while no types
+    /// are known: the record must outlast a leader that knows none.
     async fn write_changes(&mut self) {
-        loop {
-            let types = self.known_types();
+        while let Some(types) = self.known_types() {
             self.publish_recorded(&types);
             let changes = self.stored.changes(&types, self.max_shard_bytes);
             let Some(batch) = next_batch(changes, max_writes(self.controller)) else {
@@ -64,12 +64,13 @@
         }
     }
 
-    /// The machine types that the leader knows.
-    fn known_types(&self) -> Vec<MachineType> {
+    /// The machine types that the leader knows; `None` if it knows none, or has just stepped
+    /// down.
+    fn known_types(&self) -> Option<Vec<MachineType>> {
         let types = self
             .controller
             .with_cluster(|cluster| cluster.known_machine_types());
-        types.unwrap_or_default()
+        types.filter(|types| !types.is_empty())
     }
 
     /// Lets machines be rented of the types that are on record, and of those that are too
