Test: the leader after an earlier version records the types that it has read

A leader of a version without the record leaves none. The one that follows writes the types that it read before the outage, though the cloud can't be asked any more.

--- a/crates/tallygauge-sim/tests/cloud_outage.rs
+++ b/crates/tallygauge-sim/tests/cloud_outage.rs
@@ -3,11 +3,15 @@
 
 use std::sync::Arc;
 use tallygauge::{controller::Controller, user_api};
-use tallygauge_protocol::users::JobStatus;
+use tallygauge_protocol::{
+    state::{Transaction, Write},
+    users::JobStatus,
+};
 use tallygauge_sim::{
     JobShape, LEASE_S, Simulation, count_starts, eventually, is_active_leader, query_status,
     sleep_s, start_with_booted_machines, start_with_leader, submit_job, submit_until_accepted,
 };
+use tallygauge_store::RequestPriority;
 use tokio::task::JoinHandle;
 
 /// Boot time of a machine, in seconds: no machine is up before the controllers restart.
@@ -152,6 +156,29 @@
     assert_job_completes(&simulation, &controller, &id).await;
 }
 
+// A leader of an earlier version writes no record of the types. The next leader must, also if it
+// read them before the outage and can't any more, or the one after it would know none.
+#[tokio::test(start_paused = true)]
+async fn leader_after_an_earlier_version_records_the_types_that_it_has_read() {
+    let (simulation, leader, task) = start_with_leader().await;
+    let (follower, _task_b) = simulation.start_controller("n-b");
+    assert!(eventually(30.0, async || follower.catalogue.is_loaded()).await);
+    simulation.set_faults(|faults| faults.cloud_down = true);
+    let removal = Transaction {
+        conditions: Vec::new(),
+        writes: vec![Write::Remove {
+            key: "s/types/0".into(),
+        }],
+    };
+    let priority = RequestPriority::Leadership;
+    leader.store.transact(priority, &removal).await.unwrap();
+    assert_eq!(simulation.count_keys("s/types"), 0);
+    simulation.crash_controller("n-a", &task);
+    assert!(eventually(30.0, async || is_active_leader(&follower)).await);
+    sleep_s(LEASE_S * 0.1).await;
+    assert_eq!(simulation.count_keys("s/types"), 1);
+}
+
 // Machines that fall idle are returned. While the cloud is out it refuses the returns, and the
 // machines were withheld from new tasks until it was back, however long that took.
 #[tokio::test(start_paused = true)]
