Machine types: one versioned write, one reserve, namesakes compared alone

The write of a leader's record on condition of its version stood in leader_records.rs and in recorder.rs; it is add_versioned_write in leader_transaction.rs. The bytes reserved for a record's encoding stood in two modules. A type was compared with all recorded types by a copy of each, though only its namesake can match: 160,000 copies at each read of a catalogue of 400 types. The types for tests move into a test file.

--- a/crates/tallygauge/src/leader_records.rs
+++ b/crates/tallygauge/src/leader_records.rs
@@ -9,13 +9,13 @@
 use crate::{
     controller::Controller,
     deadline_settings::CutoffSettings,
-    leader_transaction::{max_writes, new_transaction},
+    leader_transaction::{add_versioned_write, max_writes, new_transaction},
     pacing::heartbeat_intervals,
     scheduling_loop::max_record_bytes,
 };
 use std::{collections::BTreeMap, sync::Arc};
 use stored::{list_all, versions};
-use tallygauge_protocol::state::{Condition, Transaction, Write};
+use tallygauge_protocol::state::{Condition, Transaction};
 use tallygauge_records::{StagedRecords, WriteBatch};
 use tallygauge_scheduler::{PriorityRules, RulesChange};
 use tallygauge_store::{RequestPriority, StoreError, TransactionOutcome};
@@ -33,7 +33,7 @@
 const MAX_WRITE_AHEAD_RECORDS: usize = 2;
 
 /// Bytes reserved in a record for what its encoding adds.
-const ENCODING_OVERHEAD_BYTES: usize = 64;
+pub(crate) const ENCODING_OVERHEAD_BYTES: usize = 64;
 
 /// Writes the leader's records for as long as this controller leads. Declared settings are
 /// written ahead, that is before they are put into force; all other records are written
@@ -237,16 +237,9 @@
     fn write_transaction(&self, batch: &WriteBatch) -> Transaction {
         let mut transaction = new_transaction(self.term_condition);
         for entry in &batch.entries {
+            let version = self.versions.get(&entry.name).copied().unwrap_or(0);
             let key = record_key(&entry.name);
-            transaction.conditions.push(Condition {
-                key: key.clone(),
-                version: self.versions.get(&entry.name).copied().unwrap_or(0),
-            });
-            transaction.writes.push(Write::Set {
-                key,
-                value: entry.value.clone(),
-                lease: None,
-            });
+            add_versioned_write(&mut transaction, key, version, entry.value.clone());
         }
         transaction
     }
--- a/crates/tallygauge/src/leader_transaction.rs
+++ b/crates/tallygauge/src/leader_transaction.rs
@@ -3,6 +3,7 @@
 
 use crate::{controller::Controller, store_keys::TERM_KEY};
 use serde::Serialize;
+use serde_json::Value;
 use tallygauge_protocol::state::{Condition, Transaction, Write};
 
 /// A transaction without writes, conditioned on the term.
@@ -28,6 +29,25 @@
     }
 }
 
+/// Adds a write that sets a record, conditioned on the last known version of its key (0 if the
+/// key does not exist), so that a delayed copy cannot replace a newer write.
+pub(crate) fn add_versioned_write(
+    transaction: &mut Transaction,
+    key: String,
+    version: u64,
+    value: Value,
+) {
+    transaction.conditions.push(Condition {
+        key: key.clone(),
+        version,
+    });
+    transaction.writes.push(Write::Set {
+        key,
+        value,
+        lease: None,
+    });
+}
+
 /// Steps down if a transaction failed on its term condition, which means that another
 /// controller has been elected. Returns whether this is the case.
 pub(crate) fn step_down_if_deposed(controller: &Controller, failed_keys: &[String]) -> bool {
--- a/crates/tallygauge/src/machine_types.rs
+++ b/crates/tallygauge/src/machine_types.rs
@@ -16,7 +16,7 @@
 mod recorder;
 mod shards;
 #[cfg(test)]
-mod test_types;
+mod tests;
 
 pub use catalogue::{MachineCatalogue, ReadTime};
 pub(crate) use loader::{are_current, refresh_interval, run as keep_types_current};
--- a/crates/tallygauge/src/machine_types/catalogue/tests.rs
+++ b/crates/tallygauge/src/machine_types/catalogue/tests.rs
@@ -1,7 +1,7 @@
 //! Merging of the types that this controller has read with those that leaders have recorded.
 
 use super::*;
-use crate::machine_types::test_types::machine_type;
+use crate::machine_types::tests::machine_type;
 
 /// When the types of these tests were read from the cloud.
 const READ_AT: ReadTime = ReadTime {
--- a/crates/tallygauge/src/machine_types/record.rs
+++ b/crates/tallygauge/src/machine_types/record.rs
@@ -30,6 +30,10 @@
 /// Whether a recorded type still describes a type. Prices may differ: they move all the time,
 /// and nothing can be rented while the record is needed.
 pub(super) fn is_up_to_date(recorded: &MachineType, current: &MachineType) -> bool {
+    // A type is compared with many others, of which it can only match its namesake.
+    if recorded.name != current.name {
+        return false;
+    }
     let with_current_prices = MachineType {
         price: current.price,
         spot_price: current.spot_price,
--- a/crates/tallygauge/src/machine_types/recorder.rs
+++ b/crates/tallygauge/src/machine_types/recorder.rs
@@ -15,13 +15,13 @@
 use crate::{
     controller::Controller,
     leader_records::{self, record_key},
-    leader_transaction::{max_writes, new_transaction, step_down_if_deposed},
+    leader_transaction::{add_versioned_write, max_writes, new_transaction, step_down_if_deposed},
     scheduling_loop::{MAX_TRANSACTION_VALUE_BYTES, max_record_bytes},
 };
 use std::collections::BTreeSet;
 use tallygauge_protocol::{
     cloud::MachineType,
-    state::{Condition, Transaction, Write},
+    state::{Condition, Transaction},
 };
 use tallygauge_records::encode;
 use tallygauge_store::{RequestPriority, TransactionOutcome, is_first_occurrence};
@@ -140,20 +140,12 @@
     fn write_transaction(&self, batch: &[ShardWrite], written_at: f64) -> Option<Transaction> {
         let mut transaction = new_transaction(self.term_condition);
         for write in batch {
-            let key = record_key(&shard_name(write.number));
-            transaction.conditions.push(Condition {
-                key: key.clone(),
-                version: write.version,
-            });
             let record = MachineTypesRecord {
                 types: write.types.clone(),
             };
             let value = encode(&record, written_at).ok()?;
-            transaction.writes.push(Write::Set {
-                key,
-                value,
-                lease: None,
-            });
+            let key = record_key(&shard_name(write.number));
+            add_versioned_write(&mut transaction, key, write.version, value);
         }
         Some(transaction)
     }
--- a/crates/tallygauge/src/machine_types/shards.rs
+++ b/crates/tallygauge/src/machine_types/shards.rs
@@ -5,14 +5,12 @@
 //! rewrites one shard.
 
 use super::record::{MachineTypesRecord, RecordedType, is_up_to_date};
+use crate::leader_records::ENCODING_OVERHEAD_BYTES;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use tallygauge_protocol::cloud::MachineType;
 use tallygauge_records::{DecodeError, decode, record_name};
 
-/// Bytes of a shard that are reserved for what its encoding adds to its types.
-const ENCODING_OVERHEAD_BYTES: usize = 64;
-
 /// A shard as it is stored.
 #[derive(Debug, Clone, Default, PartialEq)]
 struct StoredShard {
--- a/crates/tallygauge/src/machine_types/shards/tests.rs
+++ b/crates/tallygauge/src/machine_types/shards/tests.rs
@@ -1,7 +1,7 @@
 //! Distribution of machine types over shards, and what a change of the types writes.
 
 use super::*;
-use crate::machine_types::test_types::machine_type;
+use crate::machine_types::tests::machine_type;
 use tallygauge_records::encode;
 
 /// Limit of a shard in bytes: three of the types of these tests fit.
